--- /dev/null
+++ b/broker/broker.go
@@ -0,0 +1,543 @@
+// Package broker is the core round the decisions: it takes queries, hands what happens to policy.Aggregator and
+// carries out what that returns. It deals in queries, parts, attempts and outcomes and knows no wire.
+//
+// One goroutine owns the aggregator and all tables. Everything else reaches it through a bounded queue. What
+// the owner calls (Transport and Sink) must not block, so that a slow peer costs only itself.
+package broker
+
+import (
+	"errors"
+	"fmt"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"alderproxy/policy"
+)
+
+// Part is a piece of a query that one store answers.
+type Part struct {
+	Slice  int
+	Weight float64
+	Hint   policy.Micros // expected work; 0: not told
+	Key    uint64        // 0: none
+}
+
+// Query is a client's query. Once it is submitted, none of it may change.
+type Query struct {
+	ID       string // new with every try of a client
+	Class    int
+	Key      string    // idempotency key, in a keyed class
+	Text     []byte    // what each part has to carry, as it came
+	Deadline time.Time // the client leaves then
+	Retry    bool      // the client said that it tries again
+	Parts    []Part
+	Sink     Sink
+}
+
+// Sink takes the one final answer of a query. The owner calls it, so it must not block.
+type Sink interface{ Final(Answer) }
+
+// Ending says how a query ended.
+type Ending uint8
+
+// The ways a query ends.
+const (
+	Served  Ending = iota
+	Refused        // trying again is harmless
+	Failed
+)
+
+// Answer is a query's final answer.
+type Answer struct {
+	Ending   Ending
+	Whole    bool          // Served: nothing that a whole answer needs is missing
+	Values   []Value       // Served: of the parts that are in, in the order of the query's parts
+	ComeBack time.Duration // Refused: how long to wait before another try; 0: no advice
+	Late     bool          // Refused or Failed: the query's time was up
+}
+
+// Value is what a store gave for a part.
+type Value struct {
+	Slice int
+	Body  []byte
+}
+
+// Outcome is how an attempt or a probe ended.
+type Outcome struct {
+	Status policy.Status
+	Report policy.Report
+	Value  []byte
+}
+
+// Transport reaches the stores. The owner calls it, so none of its methods may block. It calls Finish once for
+// each attempt that Send has taken and that was not given up. Finish and a probe's done may wait for the owner, so
+// they must never be called from within a call of the owner's.
+type Transport interface {
+	// Send starts attempts that share one call. An error says that none of them can be sent.
+	Send(server uint32, call []*Attempt) error
+	// GiveUp tells that nobody waits for an attempt any more.
+	GiveUp(a *Attempt)
+	// HangUp closes the idle connections to a server.
+	HangUp(server uint32)
+	// Probe asks a server for its load and calls done once.
+	Probe(server uint32, done func(Outcome))
+}
+
+// Attempt is one sending of a part.
+type Attempt struct {
+	Query  *Query
+	Slice  int
+	Server uint32
+	Until  time.Time // nobody waits any longer then
+
+	broker *Broker
+	part   *part
+	try    int
+	sent   time.Time
+	state  atomic.Int32
+	over   bool // owner's: its outcome was told
+}
+
+const (
+	queued int32 = iota
+	begun
+	dropped
+)
+
+// Begin is called before the first byte is written. False means that the attempt was given up: it must not be
+// written. What was not begun has never run, whatever becomes of it.
+func (a *Attempt) Begin() bool { return a.state.CompareAndSwap(queued, begun) }
+
+// drop ends an attempt for good and tells whether that was before it was begun.
+func (a *Attempt) drop() (never bool) { return a.state.CompareAndSwap(queued, dropped) }
+
+// Dropped tells that the attempt was given up before it was begun.
+func (a *Attempt) Dropped() bool { return a.state.Load() == dropped }
+
+// Finish hands in the attempt's outcome. Only the first counts.
+func (a *Attempt) Finish(o Outcome) { a.broker.post(finished{a, o}) }
+
+// Config is what a broker needs.
+type Config struct {
+	Settings  policy.Settings
+	Seed      uint64
+	Transport Transport
+	Log       *logrus.Entry
+	Queue     int // length of the owner's queue; 0: a default
+}
+
+// Broker runs the decisions for one gatherer.
+type Broker struct {
+	set    policy.Settings
+	to     Transport
+	log    *logrus.Entry
+	policy *policy.Aggregator
+	epoch  time.Time
+	queue  chan any
+	stop   chan struct{}
+	done   chan struct{}
+	once   sync.Once
+	idle   chan struct{} // closed when a drain has ended and nothing is open
+
+	// The rest is the owner's.
+	queries map[uint64]*query
+	parts   map[uint64]*part
+	byQuery map[*Query]*query
+	open    int // queries and parts held
+	nextID  uint64
+	timers  timers
+	events  []policy.Event
+	cutoff  time.Time // of a drain; zero: none
+}
+
+type query struct {
+	*Query
+	id    uint64
+	parts []*part
+}
+
+type part struct {
+	id    uint64
+	q     *query
+	spec  Part
+	tries []*Attempt
+	value []byte
+	in    bool
+}
+
+// What comes through the queue.
+type (
+	finished struct {
+		a *Attempt
+		o Outcome
+	}
+	probed struct {
+		server uint32
+		at     time.Time
+		o      Outcome
+	}
+	gone    struct{ q *Query }
+	members struct{ servers []policy.Server }
+	drain   struct{ cutoff time.Time }
+)
+
+// ErrTwoSteps refuses settings whose classes bring a second step after the first answer.
+var ErrTwoSteps = errors.New("classes with a second step are not supported")
+
+// New checks the settings and starts the owner.
+func New(c Config) (*Broker, error) {
+	for _, class := range c.Settings.Classes {
+		if class.FetchParts > 0 {
+			return nil, fmt.Errorf("class %s: %w", class.Name, ErrTwoSteps)
+		}
+	}
+	p, err := policy.New(c.Settings, c.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("start decisions: %w", err)
+	}
+	if c.Queue <= 0 {
+		c.Queue = 1024
+	}
+	b := &Broker{set: c.Settings, to: c.Transport, log: c.Log, policy: p, epoch: time.Now(),
+		queue: make(chan any, c.Queue), stop: make(chan struct{}), done: make(chan struct{}),
+		idle: make(chan struct{}), queries: map[uint64]*query{}, parts: map[uint64]*part{},
+		byQuery: map[*Query]*query{}}
+	go b.run()
+	return b, nil
+}
+
+// post puts something into the owner's queue. It waits where the queue is full: that holds up the caller's own
+// connection and nothing else. After Close it drops what comes.
+func (b *Broker) post(item any) bool {
+	select {
+	case b.queue <- item:
+		return true
+	case <-b.stop:
+		return false
+	}
+}
+
+// Submit hands in a query. Its Sink gets exactly one final answer, unless the broker was closed.
+func (b *Broker) Submit(q *Query) bool { return b.post(q) }
+
+// Gone tells that the client of a query left. A final answer may still come if it was on its way.
+func (b *Broker) Gone(q *Query) { b.post(gone{q}) }
+
+// Members hands in the whole server list as it now is.
+func (b *Broker) Members(servers []policy.Server) { b.post(members{servers}) }
+
+// Drain makes the broker end every query by cutoff and returns a channel that closes once nothing is open.
+func (b *Broker) Drain(cutoff time.Time) <-chan struct{} {
+	b.post(drain{cutoff})
+	return b.idle
+}
+
+// Close stops the owner. Open queries get no answer: drain first.
+func (b *Broker) Close() {
+	b.once.Do(func() { close(b.stop) })
+	<-b.done
+}
+
+// micros is a moment on the clock that decisions use: the system's at the start, never running backwards.
+func (b *Broker) micros(t time.Time) policy.Micros {
+	return b.epoch.UnixMicro() + t.Sub(b.epoch).Microseconds()
+}
+
+func (b *Broker) run() {
+	defer close(b.done)
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	for {
+		wake.Reset(b.timers.wait(time.Now()))
+		select {
+		case <-b.stop:
+			return
+		case item := <-b.queue:
+			b.take(item)
+		case <-wake.C:
+		}
+		b.drainQueue()
+		now := time.Now()
+		for fire := b.timers.due(now); fire != nil; fire = b.timers.due(now) {
+			fire(now)
+		}
+		// What carrying out brings about at once (an attempt that cannot be sent) is told in a step of its own.
+		for len(b.events) > 0 {
+			b.step(now)
+		}
+		if !b.cutoff.IsZero() && len(b.queries) == 0 {
+			select {
+			case <-b.idle:
+			default:
+				close(b.idle)
+			}
+		}
+	}
+}
+
+// drainQueue takes what else is there already, so that one turn sees all of it, as one tick would.
+func (b *Broker) drainQueue() {
+	for range cap(b.queue) {
+		select {
+		case item := <-b.queue:
+			b.take(item)
+		default:
+			return
+		}
+	}
+}
+
+func (b *Broker) tell(e policy.Event) { b.events = append(b.events, e) }
+
+func (b *Broker) take(item any) {
+	now := time.Now()
+	switch it := item.(type) {
+	case *Query:
+		b.takeQuery(it, now)
+	case gone:
+		if q := b.byQuery[it.q]; q != nil {
+			b.tell(policy.ClientGone{Query: q.id})
+			b.forget(q)
+		}
+	case finished:
+		b.outcome(it.a, it.o, now)
+	case probed:
+		b.tell(policy.ProbeResult{Server: it.server, Status: it.o.Status, Elapsed: now.Sub(it.at).Microseconds(),
+			Report: it.o.Report})
+	case members:
+		b.tell(policy.Members{Servers: it.servers})
+	case drain:
+		if b.cutoff.IsZero() {
+			b.cutoff = it.cutoff
+			b.timers.add(it.cutoff, b.cut)
+		}
+	}
+}
+
+func (b *Broker) takeQuery(spec *Query, now time.Time) {
+	advice := time.Duration(0)
+	if b.set.MayAdvise {
+		advice = time.Duration(b.set.MaxAdvice) * time.Microsecond
+	}
+	// The module leaves the limit on what is held to its owner. Holding on to more would use up the memory.
+	if b.set.MaxOpen > 0 && b.open >= b.set.MaxOpen || !b.cutoff.IsZero() && !now.Before(b.cutoff) {
+		spec.Sink.Final(Answer{Ending: Refused, ComeBack: advice})
+		return
+	}
+	if !spec.Deadline.After(now) {
+		spec.Sink.Final(Answer{Ending: Refused, Late: true})
+		return
+	}
+	b.nextID++
+	q := &query{Query: spec, id: b.nextID}
+	b.queries[q.id], b.byQuery[spec] = q, q
+	b.open += 1 + len(spec.Parts)
+	b.tell(policy.Query{ID: q.id, Number: q.id, Class: spec.Class, Deadline: b.micros(spec.Deadline),
+		Parts: len(spec.Parts), Retry: spec.Retry})
+	for _, s := range spec.Parts {
+		b.nextID++
+		p := &part{id: b.nextID, q: q, spec: s}
+		q.parts = append(q.parts, p)
+		b.parts[p.id] = p
+		b.tell(policy.Part{ID: p.id, Number: q.id, Shard: s.Slice, Key: s.Key, Weight: s.Weight, Hint: s.Hint})
+	}
+	// The module ends every query in time. Should it ever not, the client still gets its one answer.
+	b.timers.add(spec.Deadline.Add(-time.Millisecond), func(time.Time) { b.giveUp(q) })
+}
+
+// giveUp ends a query for which the decisions have no more time.
+func (b *Broker) giveUp(q *query) {
+	if b.queries[q.id] != q {
+		return
+	}
+	ending := Refused
+	for _, p := range q.parts {
+		for _, a := range p.tries {
+			if a.state.Load() == begun && b.set.Classes[q.Class].Effect != policy.Safe {
+				ending = Failed
+			}
+		}
+	}
+	b.log.WithFields(logrus.Fields{"query": q.ID, "refused": ending == Refused}).Warn("query cut off at its end of time")
+	b.tell(policy.ClientGone{Query: q.id})
+	b.forget(q)
+	q.Sink.Final(Answer{Ending: ending, Late: true})
+}
+
+// cut ends what a drain finds open at its cutoff.
+func (b *Broker) cut(time.Time) {
+	open := make([]*query, 0, len(b.queries))
+	for _, q := range b.queries {
+		open = append(open, q)
+	}
+	slices.SortFunc(open, func(x, y *query) int { return int(int64(x.id) - int64(y.id)) })
+	for _, q := range open {
+		b.giveUp(q)
+	}
+}
+
+// forget takes a query that is over out of the tables. Its attempts stay until each has its outcome.
+func (b *Broker) forget(q *query) {
+	delete(b.queries, q.id)
+	delete(b.byQuery, q.Query)
+	b.open -= 1 + len(q.parts)
+	for _, p := range q.parts {
+		b.settle(p)
+	}
+}
+
+// settle drops a part that is over and of which no attempt is out.
+func (b *Broker) settle(p *part) {
+	live := func(a *Attempt) bool { return !a.over }
+	if b.queries[p.q.id] != p.q && !slices.ContainsFunc(p.tries, live) {
+		delete(b.parts, p.id)
+	}
+}
+
+// outcome tells the end of an attempt. Only the first end counts: a store's answer may cross a time-out.
+func (b *Broker) outcome(a *Attempt, o Outcome, now time.Time) {
+	if a.over {
+		return
+	}
+	a.over = true
+	if o.Status == policy.OK && b.queries[a.part.q.id] == a.part.q && !a.part.in {
+		a.part.in, a.part.value = true, o.Value
+	}
+	b.tell(policy.Outcome{Part: a.part.id, Try: a.try, Server: a.Server, Status: o.Status,
+		Elapsed: now.Sub(a.sent).Microseconds(), Report: o.Report})
+	b.settle(a.part)
+}
+
+// abandon ends the wait for an attempt, with status where it may have run.
+func (b *Broker) abandon(a *Attempt, status policy.Status, now time.Time) {
+	if a.over {
+		return
+	}
+	if a.drop() && status == policy.TimedOut {
+		status = policy.Unconnected // it was never written: it waited for a connection all the time
+	}
+	b.to.GiveUp(a)
+	b.outcome(a, Outcome{Status: status, Report: policy.NoReport}, now)
+}
+
+// step hands the decisions what has happened and carries out what they return. A panic there must not take
+// the other queries with it: it is logged, and each query still ends by its time.
+func (b *Broker) step(now time.Time) {
+	events := b.events
+	b.events = nil
+	var acts []policy.Action
+	func() {
+		defer func() {
+			if r := recover(); r != nil {
+				b.log.WithField("stack", string(debug.Stack())).Errorf("decisions panicked: %v", r)
+			}
+		}()
+		acts = b.policy.Step(b.micros(now), events)
+	}()
+	b.carryOut(acts, now)
+}
+
+func (b *Broker) carryOut(acts []policy.Action, now time.Time) {
+	var order []uint32
+	calls := map[uint32][]*Attempt{}
+	for _, act := range acts {
+		switch act := act.(type) {
+		case policy.Send:
+			if a := b.attempt(act, now); a != nil {
+				if len(calls[act.Server]) == 0 {
+					order = append(order, act.Server)
+				}
+				calls[act.Server] = append(calls[act.Server], a)
+			}
+		case policy.Cancel:
+			if p := b.parts[act.Part]; p != nil && act.Try >= 0 && act.Try < len(p.tries) {
+				b.abandon(p.tries[act.Try], policy.Cancelled, now)
+			}
+		case policy.Answer:
+			b.finish(act.Query, Answer{Ending: Served, Whole: act.Whole})
+		case policy.Refuse:
+			b.finish(act.Query, Answer{Ending: Refused, ComeBack: time.Duration(act.ComeBack) * time.Microsecond})
+		case policy.Fail:
+			b.finish(act.Query, Answer{Ending: Failed})
+		case policy.HangUp:
+			b.to.HangUp(act.Server)
+		case policy.Probe:
+			b.probe(act.Server, now)
+		case policy.Wake:
+			b.timers.add(now.Add(time.Duration(act.After)*time.Microsecond), func(time.Time) { b.tell(policy.Timer{}) })
+		case policy.Log:
+			b.log.Info(act.Text)
+		}
+	}
+	for _, server := range order {
+		for call := range slices.Chunk(calls[server], max(1, b.set.CallParts)) {
+			b.send(server, call, now)
+		}
+	}
+}
+
+// attempt books a Send. What may not be sent is told as moot, which proves that it never ran.
+func (b *Broker) attempt(act policy.Send, now time.Time) *Attempt {
+	p := b.parts[act.Part]
+	if p == nil {
+		b.log.WithField("part", act.Part).Error("decisions sent a part that is over")
+		return nil
+	}
+	until := now.Add(time.Duration(act.Timeout) * time.Microsecond)
+	if act.Timeout == 0 || until.After(p.q.Deadline) {
+		until = p.q.Deadline
+	}
+	a := &Attempt{Query: p.q.Query, Slice: p.spec.Slice, Server: act.Server, Until: until,
+		broker: b, part: p, try: len(p.tries), sent: now}
+	p.tries = append(p.tries, a)
+	if b.queries[p.q.id] != p.q || !until.After(now) || b.set.MaxAttempts > 0 && a.try >= b.set.MaxAttempts {
+		a.drop()
+		b.outcome(a, Outcome{Status: policy.Moot, Report: policy.NoReport}, now)
+		return nil
+	}
+	b.timers.add(until, func(now time.Time) { b.abandon(a, policy.TimedOut, now) })
+	return a
+}
+
+func (b *Broker) send(server uint32, call []*Attempt, now time.Time) {
+	err := b.to.Send(server, call)
+	if err == nil {
+		return
+	}
+	b.log.WithError(err).WithField("server", server).Warn("attempt not sent")
+	for _, a := range call {
+		a.drop()
+		b.outcome(a, Outcome{Status: policy.Unconnected, Report: policy.NoReport}, now)
+	}
+}
+
+func (b *Broker) probe(server uint32, now time.Time) {
+	var once sync.Once
+	b.to.Probe(server, func(o Outcome) {
+		once.Do(func() { b.post(probed{server, now, o}) })
+	})
+}
+
+// finish gives a query its final answer.
+func (b *Broker) finish(id uint64, answer Answer) {
+	q := b.queries[id]
+	if q == nil {
+		return
+	}
+	if answer.Ending == Served {
+		for _, p := range q.parts {
+			if p.in {
+				answer.Values = append(answer.Values, Value{p.spec.Slice, p.value})
+			}
+		}
+	} else {
+		answer.Late = time.Until(q.Deadline) <= 3*time.Duration(b.set.Tick)*time.Microsecond
+	}
+	b.forget(q)
+	q.Sink.Final(answer)
+}
--- /dev/null
+++ b/cmd/alderproxy/main.go
@@ -0,0 +1,16 @@
+// Command alderproxy is one gatherer. Its environment tells where its configuration is; see the README.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"alderproxy/platform"
+)
+
+func main() {
+	if err := platform.Main(); err != nil {
+		fmt.Fprintln(os.Stderr, "alderproxy:", err)
+		os.Exit(1)
+	}
+}
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"walnutlanding/internal/wire"
-	"walnutlanding/policy"
+	"alderproxy/internal/wire"
+	"alderproxy/policy"
 )
 
 func main() {
--- a/cmd/drill/main_test.go
+++ b/cmd/drill/main_test.go
@@ -4,8 +4,8 @@
 	"bytes"
 	"testing"
 
-	"walnutlanding/internal/wire"
-	"walnutlanding/policy"
+	"alderproxy/internal/wire"
+	"alderproxy/policy"
 )
 
 const facts = "fleet_size=1\ntick_us=5000\nfamily_info.slices=2\nfamily_info.cells=2\nfamily_info.reach=1\n" +
--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -6,7 +6,7 @@
 	"io"
 	"math"
 
-	"walnutlanding/policy"
+	"alderproxy/policy"
 )
 
 // Actions of the protocol that the policy does not use.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -7,7 +7,8 @@
 	"strconv"
 	"strings"
 
-	"walnutlanding/policy"
+	"alderproxy/internal/jsonscan"
+	"alderproxy/policy"
 )
 
 // Facts holds the settings of a HELLO by their paths, and the order of the values in a load report.
@@ -139,6 +140,12 @@
 }
 
 // Report names the figures of a load report. Figures that are absent or no numbers stay untold.
+// Micros is a whole number by its path, or 0.
+func (f *Facts) Micros(path string) policy.Micros { return f.micros(path) }
+
+// List is a list of plain values by its path.
+func (f *Facts) List(path string) []string { return f.list(path) }
+
 func (f *Facts) Report(figures []float32) policy.Report {
 	r := policy.NoReport
 	tell := map[string]*float64{"active": &r.Inflight, "waiting": &r.Queue, "cpu": &r.Util, "rps": &r.Rate,
@@ -176,3 +183,52 @@
 	slices.SortFunc(out, func(a, b policy.Server) int { return int(int64(a.ID) - int64(b.ID)) })
 	return out
 }
+
+// FlattenFacts reads settings given as a nested JSON object: the same names and units as in a HELLO.
+func FlattenFacts(object []byte) (*Facts, error) {
+	f := &Facts{values: map[string]string{}}
+	if err := f.flatten("", object); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	f.columns = f.list("feedback.columns")
+	return f, nil
+}
+
+func (f *Facts) flatten(path string, raw []byte) error {
+	under := func(key string) string { return strings.TrimPrefix(path+"."+key, ".") }
+	switch raw[0] {
+	case '{':
+		return jsonscan.Object(raw, func(key string, raw []byte) error { return f.flatten(under(key), raw) })
+	case '[':
+		var plain []string
+		n := 0
+		err := jsonscan.Array(raw, func(item []byte) error {
+			n++
+			if item[0] == '{' || item[0] == '[' {
+				return f.flatten(under(strconv.Itoa(n-1)), item)
+			}
+			text, err := scalar(item)
+			plain = append(plain, text)
+			return err
+		})
+		if len(plain) > 0 || n == 0 {
+			f.values[path] = strings.Join(plain, ",")
+		}
+		if len(plain) < n || n == 0 {
+			f.values[under("count")] = strconv.Itoa(n)
+		}
+		return err
+	}
+	text, err := scalar(raw)
+	f.values[path] = text
+	return err
+}
+
+// scalar is a plain value's text as a HELLO would give it.
+func scalar(raw []byte) (string, error) {
+	if raw[0] != '"' {
+		return strings.TrimPrefix(string(raw), "null"), nil
+	}
+	text, err := jsonscan.String(raw)
+	return strings.NewReplacer(" ", "_", ",", "_").Replace(text), err
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,7 @@
 	"io"
 	"math"
 
-	"walnutlanding/policy"
+	"alderproxy/policy"
 )
 
 const (
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -11,7 +11,7 @@
 	"strings"
 	"testing"
 
-	"walnutlanding/policy"
+	"alderproxy/policy"
 )
 
 // frame composes a batch from records given as hex (spaces allowed) and padded to their size.
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"walnutlanding/policy"
+	"alderproxy/policy"
 )
 
 // Example embeds the module in a small program: one query of two parts over two servers. A real owner
