--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Targets for daily work. CI runs .ci/run, which includes what build, test and lint do.
+
+.PHONY: build test lint run toy fuzz
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+test:
+	go test -race -count=1 ./...
+
+lint:
+	test -z "$$(git ls-files -co --exclude-standard '*.go' | xargs gofmt -l)"
+	go vet ./...
+
+# The example gatherer with both fronts. Start the toy world first, in another terminal.
+run: build
+	EDGE_CONFIG=example/gatherer.json ALDERPROXY_OPENSEARCH=example/opensearch.json bin/alderproxy
+
+toy:
+	go run ./example/toy
+
+fuzz:
+	go test ./httpwire -run '^$$' -fuzz FuzzReadRequest -fuzztime 20s
+	go test ./internal/jsonscan -run '^$$' -fuzz FuzzValid -fuzztime 20s
+	go test ./opensearch -run '^$$' -fuzz FuzzParseSearch -fuzztime 20s
+	go test ./platform -run '^$$' -fuzz FuzzReadFrame -fuzztime 20s
--- a/alderproxy.go
+++ b/alderproxy.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"alderproxy/contract"
 	"alderproxy/opensearch"
 	"alderproxy/platform"
 )
@@ -43,6 +44,14 @@
 			return err
 		}
 	}
+	if search.Contracts != nil {
+		keeper, err := contract.Start(search.Contracts, logger.WithField("contracts", search.Contracts.ID))
+		if err != nil {
+			return err
+		}
+		defer keeper.Close()
+		go follow(keeper, front, logger)
+	}
 	var gatherer *platform.Gatherer
 	var served <-chan error
 	if config != "" {
@@ -72,6 +81,20 @@
 	}
 }
 
+// follow has the front serve by each new version of the contracts.
+func follow(keeper *contract.Keeper, front *opensearch.Service, logger *logrus.Logger) {
+	for served := uint64(0); ; {
+		changed := keeper.Changed() // before the look, so that no change is missed
+		if book := keeper.Book(); book.Version != served {
+			served = book.Version
+			if err := front.Use(book); err != nil {
+				logger.WithError(err).Error("contracts unusable: the last ones stand")
+			}
+		}
+		<-changed
+	}
+}
+
 func startGatherer(path string, logger *logrus.Logger) (*platform.Gatherer, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
--- a/opensearch/front.go
+++ b/opensearch/front.go
@@ -22,18 +22,22 @@
 
 // front answers searches.
 type front struct {
-	broker  *broker.Broker
-	set     policy.Settings
+	now     atomic.Pointer[terms]
 	indices map[string]index
 	ready   func() bool
 	prefix  string // of query ids: no two starts of a front share one
 	seq     atomic.Uint64
 }
 
+// terms are what queries are served by until the contracts change.
+type terms struct {
+	broker *broker.Broker
+	set    policy.Settings
+}
+
 // index is what the configuration says of an index: the class of its queries and the slices that hold it.
 type index struct {
-	name   string
-	class  int
+	class  string
 	slices []int
 }
 
@@ -68,6 +72,7 @@
 type item struct {
 	*search
 	query  *broker.Query
+	terms  *terms
 	answer broker.Answer
 	bad    *failure
 	group  *group
@@ -114,7 +119,7 @@
 	if last == "_msearch" {
 		return f.multi(x, name, params)
 	}
-	it := f.item(x, name, x.Body, params)
+	it := f.item(x, f.now.Load(), name, x.Body, params)
 	if !f.run(x, []*item{it}) {
 		return nil
 	}
@@ -140,10 +145,11 @@
 }
 
 // item makes a query of a search, or says what is wrong with it.
-func (f *front) item(x *httpwire.Exchange, name string, body []byte, params map[string]string) *item {
-	it := &item{}
-	ix, ok := f.indices[name]
-	if !ok {
+func (f *front) item(x *httpwire.Exchange, t *terms, name string, body []byte, params map[string]string) *item {
+	it := &item{terms: t}
+	ix := f.indices[name]
+	class := classOf(t.set, ix.class)
+	if class < 0 || len(ix.slices) == 0 {
 		it.bad = &failure{404, "index_not_found_exception", fmt.Errorf("no such index [%s]", name), 0}
 		return it
 	}
@@ -156,11 +162,11 @@
 		it.bad = &failure{400, kind, err, 0}
 		return it
 	}
-	wait := time.Duration(f.set.Classes[ix.class].GiveUp) * time.Microsecond
+	wait := time.Duration(t.set.Classes[class].GiveUp) * time.Microsecond
 	if it.timeout > 0 {
 		wait = min(wait, it.timeout)
 	}
-	it.query = &broker.Query{ID: f.prefix + strconv.FormatUint(f.seq.Add(1), 10), Class: ix.class, Text: it.body,
+	it.query = &broker.Query{ID: f.prefix + strconv.FormatUint(f.seq.Add(1), 10), Class: class, Text: it.body,
 		Deadline: x.Start.Add(wait), Meta: &target{name}, Sink: it}
 	for _, s := range ix.slices {
 		it.query.Parts = append(it.query.Parts, broker.Part{Slice: s, Weight: 1 / float64(len(ix.slices))})
@@ -180,14 +186,14 @@
 		return true
 	}
 	for _, it := range items {
-		if it.bad == nil && !f.broker.Submit(it.query) {
+		if it.bad == nil && !it.terms.broker.Submit(it.query) {
 			it.Final(broker.Answer{Ending: broker.Refused})
 		}
 	}
 	if x.Wait() {
 		for _, it := range items {
 			if it.bad == nil {
-				f.broker.Gone(it.query)
+				it.terms.broker.Gone(it.query)
 			}
 		}
 		return false
@@ -262,6 +268,7 @@
 		return nil, fmt.Errorf("%d searches, at most %d", len(lines)/2, maxItems)
 	}
 	var items []*item
+	t := f.now.Load()
 	for i := 0; i < len(lines); i += 2 {
 		own, ignored := name, error(nil)
 		if head := bytes.TrimSpace(lines[i]); len(head) > 0 {
@@ -290,7 +297,7 @@
 		if err := jsonscan.Valid(lines[i+1]); err != nil {
 			return nil, fmt.Errorf("search %d: %w", i/2, err)
 		}
-		it := f.item(x, own, lines[i+1], nil)
+		it := f.item(x, t, own, lines[i+1], nil)
 		if ignored != nil {
 			it.bad = illegal(ignored)
 		}
--- a/opensearch/opensearch_test.go
+++ b/opensearch/opensearch_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"alderproxy/contract"
 	"alderproxy/internal/standin"
 )
 
@@ -33,12 +34,14 @@
 	settings := fmt.Sprintf(standin.Settings, standin.Lookup+","+standin.Report, maxOpen, 15_000_000)
 	c, err := ParseConfig(fmt.Appendf(nil, `{"listen":"127.0.0.1:0","settings":%s,
 		"stores":[{"name":"s-1","addr":%q,"cell":0},{"name":"s-2","addr":%q,"cell":0}],
-		"indices":{"catalogue":{"class":"lookup","slices":[0,1]},"families":{"class":"report","slices":[0,1]}}}`,
+		"indices":{"catalogue":{"class":"lookup","slices":[0,1]},"families":{"class":"report","slices":[0,1]},
+		"sales":{"class":"sales/lookup","slices":[0,1]}},
+		"contracts":{"id":"n0","bind":"127.0.0.1:0","admin":"127.0.0.1:0","dir":"unused","peers":{"n0":"127.0.0.1:1"}}}`,
 		settings, r.stores[0].Addr, r.stores[1].Addr))
 	require.NoError(t, err)
 	r.Service, err = Start(c, standin.Log())
 	require.NoError(t, err)
-	t.Cleanup(func() { r.server.Close(); r.broker.Close(); r.pool.Close() })
+	t.Cleanup(func() { r.server.Close(); r.front.now.Load().broker.Close(); r.pool.Close() })
 	return r
 }
 
@@ -178,6 +181,27 @@
 	assert.Equal(t, "2", resp.Header.Get("Retry-After"))
 }
 
+// A change of contracts takes effect at once, and what was taken before is answered as it was taken.
+func TestContractsChangeUnderWay(t *testing.T) {
+	r := start(t, 0)
+	var release []func()
+	for _, s := range r.stores {
+		release = append(release, s.Hold())
+	}
+	before := r.ask(t, "/catalogue/_search", `{}`)
+	standin.Next(t, r.stores[0])
+	put := contract.Contract{Team: "sales", Classes: []contract.Class{{Name: "lookup", AimMS: 600, GiveUpMS: 2000, Worth: 1}}}
+	book, err := contract.Book{}.Apply(contract.Change{Put: &put})
+	require.NoError(t, err)
+	require.NoError(t, r.Use(book))
+	assert.Equal(t, 404, r.ask(t, "/catalogue/_search", `{}`).Read().Status, "the index's class is in no contract")
+	for _, f := range release {
+		f()
+	}
+	assert.Equal(t, 200, before.Read().Status)
+	assert.Equal(t, 200, r.ask(t, "/sales/_search", `{}`).Read().Status)
+}
+
 func TestRefusal(t *testing.T) {
 	r := start(t, 3)
 	for _, s := range r.stores {
--- a/opensearch/service.go
+++ b/opensearch/service.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"alderproxy/broker"
+	"alderproxy/contract"
 	"alderproxy/httpwire"
 	"alderproxy/internal/jsonscan"
 	"alderproxy/internal/wire"
@@ -25,6 +27,8 @@
 	Limits   storepool.Limits
 	Stores   []storepool.Store
 	MaxConns int
+	// Contracts says where the teams' contracts are kept; nil: nowhere. They take the place of the settings' classes.
+	Contracts *contract.Config
 
 	indices map[string]index
 }
@@ -47,6 +51,8 @@
 			stores = raw
 		case "indices":
 			indices = raw
+		case "contracts":
+			c.Contracts, err = contract.ParseConfig(raw)
 		case "comment":
 		default:
 			err = errors.New("unknown key")
@@ -130,17 +136,13 @@
 }
 
 func (c *Config) index(name string, raw []byte) error {
-	ix := index{name: name, class: -1}
+	ix := index{}
 	seen := map[int64]bool{}
 	err := jsonscan.Object(raw, func(key string, raw []byte) error {
 		switch key {
 		case "class":
-			class, err := jsonscan.String(raw)
-			for i, k := range c.Settings.Classes {
-				if k.Name == class {
-					ix.class = i
-				}
-			}
+			var err error
+			ix.class, err = jsonscan.String(raw)
 			return err
 		case "slices":
 			return jsonscan.Array(raw, func(raw []byte) error {
@@ -155,8 +157,11 @@
 		}
 		return fmt.Errorf("unknown key %s", key)
 	})
-	if err == nil && (ix.class < 0 || len(ix.slices) == 0 || !isIndex(name)) {
-		err = errors.New("needs a plain name, a known class and slices")
+	if err == nil && (len(ix.slices) == 0 || !isIndex(name)) {
+		err = errors.New("needs a plain name and slices")
+	}
+	if err == nil && c.Contracts == nil && classOf(c.Settings, ix.class) < 0 {
+		err = fmt.Errorf("no class %q", ix.class)
 	}
 	c.indices[name] = ix
 	return err
@@ -173,11 +178,17 @@
 	return s != ""
 }
 
+// classOf is the number of a class, or -1.
+func classOf(s policy.Settings, name string) int {
+	return slices.IndexFunc(s.Classes, func(c policy.Class) bool { return c.Name == name })
+}
+
 // Service is a running front with its own broker over its own stores.
 type Service struct {
+	config *Config
 	log    *logrus.Entry
-	broker *broker.Broker
 	pool   *storepool.Pool
+	front  *front
 	server *httpwire.Server
 	listen net.Listener
 	leave  atomic.Bool
@@ -185,27 +196,20 @@
 
 // Start starts the front: when it returns, clients can connect.
 func Start(c *Config, log *logrus.Entry) (*Service, error) {
-	s := &Service{log: log, pool: storepool.New(c.Limits, codec{}, log)}
+	s := &Service{config: c, log: log, pool: storepool.New(c.Limits, codec{}, log)}
 	var seed [8]byte
 	rand.Read(seed[:]) // never fails, as its documentation says
-	var err error
-	s.broker, err = broker.New(broker.Config{Settings: c.Settings, Transport: s.pool, Log: log})
-	if err != nil {
+	s.front = &front{indices: c.indices, prefix: fmt.Sprintf("%x-", seed), ready: func() bool { return !s.leave.Load() }}
+	s.pool.Follow(c.Stores)
+	if err := s.Use(contract.Book{}); err != nil {
 		return nil, err
 	}
-	servers := make([]policy.Server, len(c.Stores))
-	for i, st := range c.Stores {
-		servers[i] = st.Server
-	}
-	s.pool.Follow(c.Stores)
-	s.broker.Members(servers)
+	var err error
 	if s.listen, err = net.Listen("tcp", c.Listen); err != nil {
-		s.broker.Close()
+		s.front.now.Load().broker.Close()
 		return nil, fmt.Errorf("opensearch: listen: %w", err)
 	}
-	f := &front{broker: s.broker, set: c.Settings, indices: c.indices, prefix: fmt.Sprintf("%x-", seed),
-		ready: func() bool { return !s.leave.Load() }}
-	s.server = &httpwire.Server{Handle: f.handle, Log: log, MaxConns: c.MaxConns,
+	s.server = &httpwire.Server{Handle: s.front.handle, Log: log, MaxConns: c.MaxConns,
 		Refuse: func(status int, err error) []byte { return appendError(nil, status, "parse_exception", err.Error()) }}
 	go func() {
 		if err := s.server.Serve(s.listen); err != nil {
@@ -216,6 +220,35 @@
 	return s, nil
 }
 
+// Use makes the front serve by a book of contracts. Queries taken before are answered as they were taken.
+func (s *Service) Use(book contract.Book) error {
+	set := book.Settings(s.config.Settings)
+	b, err := broker.New(broker.Config{Settings: set, Transport: s.pool, Log: s.log})
+	if err != nil {
+		return fmt.Errorf("contracts of version %d: %w", book.Version, err)
+	}
+	servers := make([]policy.Server, len(s.config.Stores))
+	for i, st := range s.config.Stores {
+		servers[i] = st.Server
+	}
+	b.Members(servers)
+	before := s.front.now.Swap(&terms{broker: b, set: set})
+	if before == nil {
+		return nil
+	}
+	s.log.WithField("version", book.Version).Info("contracts changed")
+	var longest policy.Micros
+	for _, c := range before.set.Classes {
+		longest = max(longest, c.GiveUp)
+	}
+	idle := before.broker.Drain(time.Now().Add(time.Duration(longest) * time.Microsecond))
+	go func() {
+		<-idle
+		before.broker.Close()
+	}()
+	return nil
+}
+
 // Addr is the address on which clients are served.
 func (s *Service) Addr() string { return s.listen.Addr().String() }
 
@@ -223,8 +256,9 @@
 func (s *Service) Stop(cutoff time.Time) {
 	s.leave.Store(true)
 	s.server.Close()
-	<-s.broker.Drain(cutoff)
+	b := s.front.now.Load().broker
+	<-b.Drain(cutoff)
 	s.server.Wait(time.Until(cutoff.Add(200 * time.Millisecond)))
-	s.broker.Close()
+	b.Close()
 	s.pool.Close()
 }
