Take a connection that is hung up out of use before the next call is queued

Seen in review: Pool.HangUp closed idle connections from another goroutine (closeIfIdle), while the owner's next Send follows within the same turn. The send nearly always won, so the connection that the decisions suspected stayed in use and was never closed. At fault: storepool/pool.go, the `go c.closeIfIdle(0)`.

Also: a connection that is closed at a planned stop is read for 20 ms more, so a request whose bytes are already there is served and not sent again; a hint may be decimal.

--- a/httpwire/server.go
+++ b/httpwire/server.go
@@ -139,11 +139,15 @@
 	}
 	for x := range s.conns {
 		if x.idle {
-			x.nc.SetReadDeadline(time.Unix(1, 0))
+			x.nc.SetReadDeadline(time.Now().Add(lastLook))
 		}
 	}
 }
 
+// lastLook is how long a connection about to be closed is still read: a request whose bytes are there already is
+// served, since to close on it would make its client send it again.
+const lastLook = 20 * time.Millisecond
+
 // Wait returns once every connection has ended, or after limit.
 func (s *Server) Wait(limit time.Duration) bool {
 	done := make(chan struct{})
@@ -167,12 +171,12 @@
 func (s *Server) await(x *Exchange) bool {
 	s.mu.Lock()
 	x.idle = true
-	x.nc.SetReadDeadline(s.limit(s.IdleLimit, time.Minute))
-	closed := s.closed.Load()
-	s.mu.Unlock()
-	if closed && x.r.Buffered() == 0 {
-		return false
+	if s.closed.Load() {
+		x.nc.SetReadDeadline(time.Now().Add(lastLook))
+	} else {
+		x.nc.SetReadDeadline(s.limit(s.IdleLimit, time.Minute))
 	}
+	s.mu.Unlock()
 	_, err := x.r.Peek(1)
 	s.mu.Lock()
 	x.idle = false
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -168,6 +168,9 @@
 				return
 			}
 			s.Parts <- string(head[4]) + string(rest)
+			if head[4] == '4' {
+				send('4', "qps=12.5,queue=3")
+			}
 			if head[4] != '1' {
 				continue
 			}
--- a/storepool/conn.go
+++ b/storepool/conn.go
@@ -139,6 +139,22 @@
 	c.closeIfIdle(0)
 }
 
+// hangUp takes an idle connection out of use at once, so that the next call opens a new one: the owner's next Send
+// follows so closely that a close from another goroutine would come too late. A probe that is out may still end.
+func (c *conn) hangUp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil || c.busy > 0 {
+		return
+	}
+	c.last = true
+	if len(c.probes) == 0 && len(c.out) == 0 {
+		go c.close(errIdle)
+	} else {
+		time.AfterFunc(c.pool.connectTimeout(), func() { c.close(errIdle) })
+	}
+}
+
 // closeIfIdle closes the connection if nothing is out on it and it was not used for that long.
 func (c *conn) closeIfIdle(unused time.Duration) {
 	c.mu.Lock()
--- a/storepool/pool.go
+++ b/storepool/pool.go
@@ -191,7 +191,7 @@
 	defer p.mu.Unlock()
 	if st := p.stores[server]; st != nil {
 		for _, c := range st.conns {
-			go c.closeIfIdle(0)
+			c.hangUp()
 		}
 	}
 }
