--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,4 @@
 	go test ./internal/jsonscan -run '^$$' -fuzz FuzzValid -fuzztime 20s
 	go test ./opensearch -run '^$$' -fuzz FuzzParseSearch -fuzztime 20s
 	go test ./platform -run '^$$' -fuzz FuzzReadFrame -fuzztime 20s
+	go test ./platform -run '^$$' -fuzz FuzzQuery -fuzztime 20s
--- a/alderproxy.go
+++ b/alderproxy.go
@@ -68,7 +68,7 @@
 		go func() {
 			defer close(done)
 			if front != nil {
-				front.Stop(began.Add(platform.CutAfter))
+				front.Stop(began.Add(platform.ServeOn), began.Add(platform.CutAfter))
 			}
 		}()
 		if gatherer != nil {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -87,6 +87,7 @@
 
 	mu    sync.Mutex
 	fault Fault
+	only  string        // the slice that has the fault; empty: all
 	hold  chan struct{} // answers wait until it is closed; nil: they don't
 	l     net.Listener
 	ended chan struct{} // the listener is closed for good
@@ -109,6 +110,14 @@
 	}
 }
 
+// SetFaultAt is SetFault for the parts of one slice.
+func (s *Store) SetFaultAt(slice int, f Fault) {
+	s.SetFault(f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.only = strconv.Itoa(slice)
+}
+
 // Hold makes answers wait until release is called.
 func (s *Store) Hold() (release func()) {
 	s.mu.Lock()
@@ -118,9 +127,12 @@
 	return sync.OnceFunc(func() { close(hold) })
 }
 
-func (s *Store) now() (Fault, chan struct{}) {
+func (s *Store) now(slice string) (Fault, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.only != "" && s.only != slice {
+		return None, s.hold
+	}
 	return s.fault, s.hold
 }
 
@@ -175,7 +187,7 @@
 				continue
 			}
 			words := strings.Fields(string(rest))
-			fault, hold := s.now()
+			fault, hold := s.now(words[1])
 			switch fault {
 			case Error, Partial, Late:
 				send('5', words[0]+" E 0 -\n")
@@ -208,7 +220,7 @@
 				return
 			}
 			s.Parts <- req.Target + "\n" + string(req.Body)
-			fault, hold := s.now()
+			fault, hold := s.now(sliceOf(req.Target))
 			status, body := 200, ""
 			switch fault {
 			case Error:
@@ -238,9 +250,14 @@
 	})
 }
 
-func hits(docs, target string) string {
+func sliceOf(target string) string {
 	_, slice, _ := strings.Cut(target, "_shards:")
 	slice, _, _ = strings.Cut(slice, "&")
+	return slice
+}
+
+func hits(docs, target string) string {
+	slice := sliceOf(target)
 	var own []string
 	for line := range strings.Lines(docs) {
 		if hit, ok := strings.CutPrefix(strings.TrimSpace(line), slice+" "); ok {
--- a/opensearch/opensearch_test.go
+++ b/opensearch/opensearch_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -149,6 +150,22 @@
 	}
 }
 
+// A class that takes half of its parts is answered from these, and the answer tells of the failed shard.
+func TestPartialAnswerTellsOfTheFailedShard(t *testing.T) {
+	for _, fault := range []standin.Fault{standin.Error, standin.Partial, standin.Late} {
+		r := start(t, 0)
+		for _, s := range r.stores {
+			s.SetFaultAt(1, fault)
+		}
+		resp := r.ask(t, "/families/_search", `{}`).Read()
+		require.Equal(t, 200, resp.Status)
+		a := read(t, resp.Body)
+		assert.Equal(t, "ab", a.ids())
+		assert.Equal(t, 1, a.Shards.Failed)
+		assert.Equal(t, 1, a.Shards.Successful)
+	}
+}
+
 func TestMultiSearchMixesClasses(t *testing.T) {
 	r := start(t, 0)
 	resp := r.ask(t, "/_msearch", strings.Join([]string{
@@ -202,6 +219,30 @@
 	assert.Equal(t, 200, r.ask(t, "/sales/_search", `{}`).Read().Status)
 }
 
+func TestStopAnswersWhatWasTaken(t *testing.T) {
+	r := start(t, 0)
+	var release []func()
+	for _, s := range r.stores {
+		release = append(release, s.Hold())
+	}
+	c := r.ask(t, "/catalogue/_search", `{}`)
+	standin.Next(t, r.stores[0])
+	stopped := make(chan struct{})
+	now := time.Now()
+	go func() { r.Stop(now.Add(300*time.Millisecond), now.Add(2*time.Second)); close(stopped) }()
+	require.Eventually(t, r.leave.Load, 5*time.Second, time.Millisecond)
+	late := standin.Dial(t, r.Addr()) // still served for a moment
+	late.Send("GET", "/healthz", "")
+	assert.Equal(t, 503, late.Read().Status)
+	for _, f := range release {
+		f()
+	}
+	resp := c.Read()
+	assert.Equal(t, 200, resp.Status)
+	assert.True(t, resp.Close)
+	<-stopped
+}
+
 func TestRefusal(t *testing.T) {
 	r := start(t, 3)
 	for _, s := range r.stores {
--- a/opensearch/service.go
+++ b/opensearch/service.go
@@ -252,9 +252,11 @@
 // Addr is the address on which clients are served.
 func (s *Service) Addr() string { return s.listen.Addr().String() }
 
-// Stop answers what was taken, by the cutoff, and ends the front.
-func (s *Service) Stop(cutoff time.Time) {
+// Stop ends the front: new connections are served until one moment, and what was taken is answered by another.
+func (s *Service) Stop(serveUntil, cutoff time.Time) {
 	s.leave.Store(true)
+	s.server.Leave()
+	time.Sleep(time.Until(serveUntil))
 	s.server.Close()
 	b := s.front.now.Load().broker
 	<-b.Drain(cutoff)
--- a/opensearch/stores.go
+++ b/opensearch/stores.go
@@ -19,12 +19,12 @@
 type codec struct{}
 
 // AppendCall appends the search of one part. The settings allow one part a call.
-func (codec) AppendCall(to []byte, call []*broker.Attempt, now time.Time) []byte {
+func (codec) AppendCall(to []byte, store storepool.Store, call []*broker.Attempt, now time.Time) []byte {
 	a := call[0]
 	target := fmt.Sprintf("/%s/_search?preference=_shards:%d&timeout=%dms&allow_partial_search_results=false",
 		a.Query.Meta.(*target).index, a.Slice, max(1, a.Until.Sub(now).Milliseconds()))
 	extra := httpwire.Header{{Name: "X-Opaque-Id", Value: storepool.PartID(a)}}
-	return httpwire.AppendRequest(to, "POST", target, "store", extra, a.Query.Text)
+	return httpwire.AppendRequest(to, "POST", target, store.Addr, extra, a.Query.Text)
 }
 
 // AppendGiveUp appends nothing: only closing gives a search up.
--- a/storepool/conn.go
+++ b/storepool/conn.go
@@ -279,7 +279,7 @@
 		if len(begun) == 0 {
 			return buf, nil
 		}
-		buf = c.pool.codec.AppendCall(buf, begun, now)
+		buf = c.pool.codec.AppendCall(buf, c.to, begun, now)
 	}
 	// A vanished machine takes no more once its buffers are full: no write without a deadline.
 	nc.SetWriteDeadline(now.Add(c.pool.connectTimeout()))
--- /dev/null
+++ b/storepool/conn_test.go
@@ -0,0 +1,93 @@
+package storepool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"alderproxy/broker"
+	"alderproxy/internal/standin"
+	"alderproxy/internal/wire"
+	"alderproxy/policy"
+)
+
+// capture is a transport that hands over what it is given.
+type capture chan *broker.Attempt
+
+func (c capture) Send(_ uint32, call []*broker.Attempt) error { c <- call[0]; return nil }
+func (capture) GiveUp(*broker.Attempt)                        {}
+func (capture) HangUp(uint32)                                 {}
+func (capture) Probe(uint32, func(broker.Outcome))            {}
+
+type sink chan broker.Answer
+
+func (s sink) Final(a broker.Answer) { s <- a }
+
+// attempts returns where a query's attempts come out, one after the other as each ends, and its final answer.
+func attempts(t *testing.T) (capture, sink) {
+	facts, err := wire.FlattenFacts(fmt.Appendf(nil, standin.Settings, standin.Save, 0, 15_000_000))
+	require.NoError(t, err)
+	set, err := facts.Settings()
+	require.NoError(t, err)
+	to, answers := make(capture, 16), make(sink, 1)
+	b, err := broker.New(broker.Config{Settings: set, Transport: to, Log: standin.Log()})
+	require.NoError(t, err)
+	t.Cleanup(b.Close)
+	b.Members([]policy.Server{{ID: 1, Presence: policy.Ready}, {ID: 2, Presence: policy.Ready}})
+	b.Submit(&broker.Query{ID: "q", Deadline: time.Now().Add(2 * time.Second), Sink: answers,
+		Parts: []broker.Part{{Weight: 1}}})
+	return to, answers
+}
+
+// waiting is a connection that is not up yet.
+func waiting(streams int) *conn {
+	return newConn(New(Limits{ConnectTimeout: 250_000, ConnIdle: 15_000_000, Streams: streams}, nil, standin.Log()), Store{})
+}
+
+// The rule on drains counts when a frame is sent: what still waits for its connection must not go out. It has not
+// run, so it may go elsewhere at once, in a keyed class too.
+func TestQueuedCallIsTakenBackWhenItsStoreDrains(t *testing.T) {
+	to, _ := attempts(t)
+	c, a := waiting(32), <-to
+	require.True(t, c.push(item{call: []*broker.Attempt{a}}))
+	c.stopSending()
+	assert.False(t, a.Begin(), "it could still be written")
+	assert.False(t, c.push(item{giveUp: "x"}), "something new could still go out")
+	assert.NotSame(t, a, <-to)
+}
+
+func TestStreamsLimitAndNamesOnAConnection(t *testing.T) {
+	to, _ := attempts(t)
+	c, a := waiting(1), <-to
+	call := item{call: []*broker.Attempt{a}}
+	require.True(t, c.push(call))
+	assert.False(t, c.push(call), "more than the connection carries")
+	c.pool.limits.Streams = 9
+	assert.False(t, c.push(call), "two parts of one name")
+	assert.False(t, c.giveUp(&broker.Attempt{Query: a.Query}), "another attempt of that name")
+}
+
+// What a connection carried when it ended has never run if it was not written, and may have if it was.
+func TestEndOfAConnectionTellsWhatMayHaveRun(t *testing.T) {
+	for written, want := range map[bool]broker.Ending{false: broker.Refused, true: broker.Failed} {
+		to, answers := attempts(t)
+		for ended := false; !ended; {
+			select {
+			case a := <-to:
+				c := waiting(32)
+				require.True(t, c.push(item{call: []*broker.Attempt{a}}))
+				if written {
+					require.True(t, a.Begin())
+					c.calls[PartID(a)].written = true
+				}
+				c.close(errClosed)
+			case answer := <-answers:
+				assert.Equal(t, want, answer.Ending)
+				ended = true
+			}
+		}
+	}
+}
--- a/storepool/pool.go
+++ b/storepool/pool.go
@@ -31,8 +31,8 @@
 
 // Codec words what goes between a gatherer and a store.
 type Codec interface {
-	// AppendCall appends attempts that share one call.
-	AppendCall(to []byte, call []*broker.Attempt, now time.Time) []byte
+	// AppendCall appends attempts that share one call to a store.
+	AppendCall(to []byte, store Store, call []*broker.Attempt, now time.Time) []byte
 	// AppendGiveUp appends the word that a part is given up. Where it appends nothing, the connection is closed.
 	AppendGiveUp(to []byte, id string) []byte
 	// AppendProbe appends a probe for load. Where it appends nothing, stores take none.
