--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -187,7 +187,7 @@
 // FlattenFacts reads settings given as a nested JSON object: the same names and units as in a HELLO.
 func FlattenFacts(object []byte) (*Facts, error) {
 	f := &Facts{values: map[string]string{}}
-	if err := f.flatten("", object); err != nil {
+	if err := jsonscan.Object(object, f.flatten); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	f.columns = f.list("feedback.columns")
