Let the program's own test wait until it is ready before it asks

Seen: TestPlannedStopEndsWithStatusZero got 429 now and then under eight copies at once. Checked: the program's log of a failed run shows no connection that ended and no attempt that was not sent, so the query was refused at its admission. At fault: the test took the line `store listed` for readiness; it is logged before the decisions have the list, and a query without a known replica is refused. The program is right: /healthz says 200 only after the list was handed over, and the platform sends clients only then.

--- a/alderproxy_test.go
+++ b/alderproxy_test.go
@@ -8,9 +8,9 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -44,20 +44,23 @@
 	s := standin.NewFrameStore(t)
 	d := standin.NewDiscovery(t, standin.Entry("s-1", s, "in_service"))
 	c := program(t, fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"settings":%s}`, d.Addr,
-		strings.Replace(fmt.Sprintf(standin.Settings, standin.Lookup, 0, 15_000_000), "600000", "2000000", 1)))
+		fmt.Sprintf(standin.Settings, standin.Lookup, 0, 15_000_000)))
 	out, err := c.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, c.Start())
 	defer c.Process.Kill() // if the test fails before the program has ended
-	addr, listed := "", false
+	addr := ""
 	lines := bufio.NewScanner(out)
-	for (addr == "" || !listed) && lines.Scan() {
+	for addr == "" && lines.Scan() {
 		if m := regexp.MustCompile(`msg=serving.*listen="([^"]+)"`).FindStringSubmatch(lines.Text()); m != nil {
 			addr = m[1]
 		}
-		listed = listed || strings.Contains(lines.Text(), "store listed")
 	}
 	cl := standin.Dial(t, addr)
+	require.Eventually(t, func() bool { // as the platform does: clients come once it is ready
+		cl.Send("GET", "/healthz", "")
+		return cl.Read().Status == 200
+	}, 10*time.Second, 5*time.Millisecond)
 	cl.Send("POST", "/lookup", `{"slices":[{"slice":0,"mass":1}],"filter":"x"}`, "Request-Id", "q", "Request-Timeout", "2")
 	assert.Equal(t, 200, cl.Read().Status)
 	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
