Take SIGHUP: read the configuration again and move the watch to the new discovery

At fault: alderproxy.go asked only for SIGTERM and SIGINT, and Go ends a process on a SIGHUP that nobody takes. Now the file is read whole again. The watch goes to the new address at once; the list, the connections and every request stay. Memory and cores are taken over, the rest is named in the log and waits for the next start; a file that can't be used is logged and changes nothing. SIGHUP and SIGTERM have a channel each: in one channel of one place a SIGTERM behind a SIGHUP is dropped.

--- a/alderproxy.go
+++ b/alderproxy.go
@@ -23,10 +23,14 @@
 // openSearchFile says where the second front listens. ALDERPROXY_OPENSEARCH names another one.
 const openSearchFile = "deploy/opensearch.json"
 
-// Main runs what the environment and the files tell, until SIGTERM or SIGINT.
+// Main runs what the environment and the files tell, until SIGTERM or SIGINT. SIGHUP has it read the gatherer's
+// configuration again.
 func Main() error {
-	signals := make(chan os.Signal, 1)
+	// Each has a channel of its own, so that no burst of one crowds out the other. Go ends a process on a SIGHUP that
+	// nobody takes, and with it every open request: it stays taken to the end, during a planned stop too.
+	signals, hangups := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(hangups, syscall.SIGHUP)
 	logger := logrus.New()
 	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
 		TimestampFormat: "15:04:05.000"})
@@ -60,27 +64,44 @@
 		}
 		served = gatherer.Served()
 	}
-	select {
-	case s := <-signals:
-		began := time.Now()
-		logger.WithField("signal", s.String()).Info("stopping")
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			if front != nil {
-				front.Stop(began.Add(platform.ServeOn), began.Add(platform.CutAfter))
+	for {
+		select {
+		case <-hangups:
+			if gatherer != nil {
+				reload(gatherer, config, logger)
 			}
-		}()
-		if gatherer != nil {
-			gatherer.Stop(began)
+		case s := <-signals:
+			began := time.Now()
+			logger.WithField("signal", s.String()).Info("stopping")
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				if front != nil {
+					front.Stop(began.Add(platform.ServeOn), began.Add(platform.CutAfter))
+				}
+			}()
+			if gatherer != nil {
+				gatherer.Stop(began)
+			}
+			<-done
+			return nil
+		case err := <-served:
+			return fmt.Errorf("stopped serving: %w", err)
 		}
-		<-done
-		return nil
-	case err := <-served:
-		return fmt.Errorf("stopped serving: %w", err)
 	}
 }
 
+// reload hands a configuration that was read again to the gatherer. One that cannot be used changes nothing.
+func reload(g *platform.Gatherer, path string, logger *logrus.Logger) {
+	c, err := gathererConfig(path)
+	if err != nil {
+		logger.WithError(err).Error("new configuration unusable: the old one stands")
+		return
+	}
+	useLimits(c)
+	g.Reload(c)
+}
+
 // follow has the front serve by each new version of the contracts.
 func follow(keeper *contract.Keeper, front *opensearch.Service, logger *logrus.Logger) {
 	for served := uint64(0); ; {
@@ -95,19 +116,28 @@
 	}
 }
 
-func startGatherer(path string, logger *logrus.Logger) (*platform.Gatherer, error) {
+func gathererConfig(path string) (*platform.Config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	c, err := platform.ParseConfig(text)
-	if err != nil {
-		return nil, err
-	}
+	return platform.ParseConfig(text)
+}
+
+// useLimits keeps the process within the memory and the cores that it was given.
+func useLimits(c *platform.Config) {
 	if c.MemoryMB > 0 { // the collector works harder before the limit is reached; a quarter is for the rest
 		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
 	}
 	runtime.GOMAXPROCS(max(1, int(c.Cores)))
+}
+
+func startGatherer(path string, logger *logrus.Logger) (*platform.Gatherer, error) {
+	c, err := gathererConfig(path)
+	if err != nil {
+		return nil, err
+	}
+	useLimits(c)
 	return platform.Start(c, logger.WithField("gatherer", c.Name))
 }
 
--- a/alderproxy_test.go
+++ b/alderproxy_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -32,36 +33,88 @@
 	os.Exit(0)
 }
 
-func program(t *testing.T, config string) *exec.Cmd {
-	path := filepath.Join(t.TempDir(), "config.json")
+func program(t *testing.T, config string) (c *exec.Cmd, path string) {
+	path = filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(path, []byte(config), 0o600))
-	c := exec.Command(os.Args[0])
+	c = exec.Command(os.Args[0])
 	c.Env = append(os.Environ(), "ALDERPROXY_TEST=program", "EDGE_CONFIG="+path)
-	return c
+	return c, path
 }
 
-func TestPlannedStopEndsWithStatusZero(t *testing.T) {
-	s := standin.NewFrameStore(t)
-	d := standin.NewDiscovery(t, standin.Entry("s-1", s, "in_service"))
-	c := program(t, fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"settings":%s}`, d.Addr,
-		fmt.Sprintf(standin.Settings, standin.Lookup, 0, 15_000_000)))
+// running starts the program and returns once it is ready, with a client of it and its log.
+func running(t *testing.T, config string) (c *exec.Cmd, path string, cl *standin.Client, lines *bufio.Scanner) {
+	c, path = program(t, config)
 	out, err := c.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, c.Start())
-	defer c.Process.Kill() // if the test fails before the program has ended
-	addr := ""
-	lines := bufio.NewScanner(out)
-	for addr == "" && lines.Scan() {
-		if m := regexp.MustCompile(`msg=serving.*listen="([^"]+)"`).FindStringSubmatch(lines.Text()); m != nil {
-			addr = m[1]
-		}
-	}
-	cl := standin.Dial(t, addr)
+	t.Cleanup(func() { c.Process.Kill() }) // if the test fails before the program has ended
+	lines = bufio.NewScanner(out)
+	m := logged(t, lines, `msg=serving.*listen="([^"]+)"`)
+	cl = standin.Dial(t, m[1])
 	require.Eventually(t, func() bool { // as the platform does: clients come once it is ready
 		cl.Send("GET", "/healthz", "")
 		return cl.Read().Status == 200
 	}, 10*time.Second, 5*time.Millisecond)
-	cl.Send("POST", "/lookup", `{"slices":[{"slice":0,"mass":1}],"filter":"x"}`, "Request-Id", "q", "Request-Timeout", "2")
+	return c, path, cl, lines
+}
+
+// logged reads the log up to a line.
+func logged(t *testing.T, lines *bufio.Scanner, pattern string) []string {
+	for lines.Scan() {
+		if m := regexp.MustCompile(pattern).FindStringSubmatch(lines.Text()); m != nil {
+			return m
+		}
+	}
+	require.Fail(t, "not logged: "+pattern)
+	return nil
+}
+
+func config(d *standin.Discovery) string {
+	return fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"settings":%s}`, d.Addr,
+		fmt.Sprintf(standin.Settings, standin.Lookup, 0, 15_000_000))
+}
+
+func ask(c *standin.Client, id string) {
+	c.Send("POST", "/lookup", `{"slices":[{"slice":0,"mass":1}],"filter":"x"}`, "Request-Id", id, "Request-Timeout", "2")
+}
+
+func TestPlannedStopEndsWithStatusZero(t *testing.T) {
+	s := standin.NewFrameStore(t)
+	c, _, cl, lines := running(t, config(standin.NewDiscovery(t, standin.Entry("s-1", s, "in_service"))))
+	ask(cl, "q")
+	assert.Equal(t, 200, cl.Read().Status)
+	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
+	for lines.Scan() { // to the end
+	}
+	assert.NoError(t, c.Wait())
+}
+
+// Go ends a process on a SIGHUP that nobody takes. It must move the watch and keep every open request; a file that
+// can't be used must change nothing.
+func TestHangUpMovesTheWatchAndKeepsOpenRequests(t *testing.T) {
+	s := standin.NewFrameStore(t)
+	entry := standin.Entry("s-1", s, "in_service")
+	old, moved := standin.NewDiscovery(t, entry), standin.NewDiscovery(t, entry)
+	c, path, cl, lines := running(t, config(old))
+	release := s.Hold()
+	ask(cl, "q1")
+	standin.Next(t, s)
+	require.NoError(t, os.WriteFile(path, []byte(`{"listen":`), 0o600))
+	require.NoError(t, c.Process.Signal(syscall.SIGHUP))
+	logged(t, lines, "new configuration unusable")
+	require.NoError(t, os.WriteFile(path, []byte(config(moved)), 0o600))
+	require.NoError(t, c.Process.Signal(syscall.SIGHUP))
+	logged(t, lines, `discovery moved`)
+	for target := ""; !strings.Contains(target, "hold_ms"); { // it watches the new one: it has taken its list in
+		select {
+		case target = <-moved.Targets:
+		case <-time.After(5 * time.Second):
+			require.Fail(t, "the new address was not asked")
+		}
+	}
+	release()
+	assert.Equal(t, 200, cl.Read().Status)
+	ask(cl, "q2") // and it serves on
 	assert.Equal(t, 200, cl.Read().Status)
 	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
 	for lines.Scan() { // to the end
@@ -71,7 +124,7 @@
 
 func TestBadStartEndsWithOneLine(t *testing.T) {
 	for name, config := range map[string]string{"empty": "", "cut": `{"listen":`, "no settings": `{}`} {
-		c := program(t, config)
+		c, _ := program(t, config)
 		var out bytes.Buffer
 		c.Stderr = &out
 		assert.Error(t, c.Run(), name)
