Let idle and silent client connections yield to new ones before any is turned away

Checked: memory (9 of 48 MB) and CPU were far from their limits; 192 client connections are the cap of three quarters, and 1266 clients had asked once and kept their connection. At fault: httpwire/server.go kept idle connections for a minute and answered 503 at the cap. Now, beyond half of the bound, the one idle longest (2.2 s at least) yields to each new one; at the bound any without an open request does, and none with one. Bytes sent ahead no longer hide that a client leaves (Exchange.Wait). Words to those turned away hold an eighth of the bound at most.

--- a/httpwire/httpwire.go
+++ b/httpwire/httpwire.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strconv"
 	"strings"
 )
@@ -31,6 +32,8 @@
 		return 413
 	case errors.Is(err, ErrMalformed):
 		return 400
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return 408
 	}
 	return 0
 }
@@ -312,6 +315,7 @@
 }
 
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	408: "Request Timeout", 409: "Conflict",
 	413: "Content Too Large", 429: "Too Many Requests", 500: "Internal Server Error", 502: "Bad Gateway",
 	503: "Service Unavailable", 504: "Gateway Timeout"}
 
--- a/httpwire/server.go
+++ b/httpwire/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -21,20 +22,47 @@
 	// Refuse words the answer to what could not be read; nil: an empty JSON object.
 	Refuse func(status int, err error) []byte
 	Log    *logrus.Entry
-	// MaxConns bounds the connections held. Beyond it one is turned away with 503.
+	// MaxConns bounds the connections held. Beyond half of it connections that have lain idle for a while yield to
+	// new ones, at the bound any on which no request is open. If there is none, the new one is turned away with 503.
 	MaxConns int
-	// IdleLimit is how long a connection may lie idle, ReadLimit how long a request may take to come in, and
-	// WriteLimit how long an answer may take to go out. Zero: a default.
-	IdleLimit, ReadLimit, WriteLimit time.Duration
+	// FirstLimit is how long a new connection may take until its first request has come in whole, IdleLimit how long
+	// one may lie idle later, ReadLimit how long a later request may take to come in, and WriteLimit how long an
+	// answer may take to go out. Zero: a default.
+	FirstLimit, IdleLimit, ReadLimit, WriteLimit time.Duration
 
 	mu       sync.Mutex
 	conns    map[*Exchange]struct{}
+	extra    int // connections being turned away
+	warned   time.Time
 	listener net.Listener
 	leaving  atomic.Bool // answers say that the connection ends
 	closed   atomic.Bool // idle connections end at once
 	active   sync.WaitGroup
 }
 
+const (
+	firstLimit = 10 * time.Second
+	idleLimit  = time.Minute
+	readLimit  = 10 * time.Second
+	writeLimit = 2 * time.Second
+	// idleYields is how long a connection lies idle before it yields to new ones while there is room left.
+	idleYields = 2200 * time.Millisecond
+	// silentYields is how long a client may say nothing, or break off in a request, before it yields at the bound:
+	// one that means to ask does so at once.
+	silentYields = 250 * time.Millisecond
+)
+
+// state is what a connection is at.
+type state uint8
+
+const (
+	silent  state = iota // new, nothing has come
+	reading              // a request comes in
+	open                 // a request is open: the connection never yields
+	idle                 // between requests
+	ending               // its last answer is out
+)
+
 // Reply is an answer.
 type Reply struct {
 	Status int
@@ -47,11 +75,14 @@
 	*Request
 	Start time.Time // when the request's first byte had come
 
-	nc   net.Conn
-	r    *bufio.Reader
-	idle bool // guarded by the server's lock
-	wake chan struct{}
-	once *sync.Once
+	nc      net.Conn
+	r       *bufio.Reader
+	began   time.Time // when the client connected
+	state   state     // guarded by the server's lock, as are the next two
+	since   time.Time // when it came into that state
+	yielded bool
+	wake    chan struct{}
+	once    *sync.Once
 }
 
 // Wake ends Wait. Any goroutine may call it, more than once; it never blocks.
@@ -71,11 +102,15 @@
 			return false
 		default:
 		}
-		_, err := x.r.Peek(1)
-		if err == nil { // the next request is there already: the client can't be seen to leave
+		// Bytes sent ahead must not hide that the client leaves behind them: look past what is there already.
+		_, err := x.r.Peek(x.r.Buffered() + 1)
+		if errors.Is(err, bufio.ErrBufferFull) { // so much ahead that its leaving can't be seen
 			<-x.wake
 			return false
 		}
+		if err == nil {
+			continue
+		}
 		select {
 		case <-x.wake:
 			return false
@@ -99,30 +134,101 @@
 		}
 		if err != nil {
 			// Out of descriptors or a connection that ended early: neither is a reason to stop serving.
-			s.Log.WithError(err).Warn("accept failed")
+			s.mu.Lock()
+			s.makeRoom(0)
+			s.warn("accept failed", err)
+			s.mu.Unlock()
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		x := &Exchange{nc: nc, r: bufio.NewReaderSize(nc, 4<<10), idle: true}
+		now := time.Now()
+		x := &Exchange{nc: nc, r: bufio.NewReaderSize(nc, 4<<10), began: now, since: now}
 		s.mu.Lock()
-		full := s.MaxConns > 0 && len(s.conns) >= s.MaxConns
-		if !full {
+		full := s.MaxConns > 0 && !s.makeRoom(s.MaxConns)
+		drop := full && s.extra >= max(1, s.MaxConns/8)
+		if full {
+			s.warn("client turned away", errTooMany)
+			if !drop {
+				s.extra++
+			}
+		} else {
 			s.conns[x] = struct{}{}
 		}
 		s.mu.Unlock()
-		if full {
-			go s.end(x, s.refusal(503, errors.New("too many connections")))
-			continue
+		switch {
+		case drop: // even words to those turned away are bounded: each holds a descriptor
+			nc.Close()
+		case full:
+			go func() {
+				s.end(x, s.refusal(503, errTooMany))
+				s.mu.Lock()
+				s.extra--
+				s.mu.Unlock()
+			}()
+		default:
+			s.active.Add(1)
+			go func() {
+				defer s.active.Done()
+				s.serve(x)
+				s.mu.Lock()
+				delete(s.conns, x)
+				s.mu.Unlock()
+			}()
+		}
+	}
+}
+
+var errTooMany = errors.New("too many connections")
+
+// warn logs what any client can cause, once a second at most. The lock is held.
+func (s *Server) warn(what string, err error) {
+	if now := time.Now(); now.Sub(s.warned) >= time.Second {
+		s.warned = now
+		s.Log.WithError(err).WithField("connections", len(s.conns)).Warn(what)
+	}
+}
+
+// makeRoom has connections without an open request yield to a new one, so that clients that keep theirs for good or
+// say nothing crowd out nobody, and tells whether fewer than bound are held then. The lock is held.
+func (s *Server) makeRoom(bound int) bool {
+	if len(s.conns) < bound/2 {
+		return true
+	}
+	var worst *Exchange
+	rank := func(x *Exchange) int { // who yields first has the lowest
+		switch age := time.Since(x.since); {
+		case x.state == idle && age >= idleYields:
+			return 0
+		case len(s.conns) < bound || x.state == open:
+			return 9
+		case x.state == ending:
+			return 1
+		case (x.state == silent || x.state == reading) && age >= silentYields:
+			return 2
+		case x.state == idle:
+			return 3
+		}
+		return 4
+	}
+	for x := range s.conns {
+		if r := rank(x); r < 9 && (worst == nil || r < rank(worst) || r == rank(worst) && x.since.Before(worst.since)) {
+			worst = x
 		}
-		s.active.Add(1)
-		go func() {
-			defer s.active.Done()
-			s.serve(x)
-			s.mu.Lock()
-			delete(s.conns, x)
-			s.mu.Unlock()
-		}()
 	}
+	if worst != nil {
+		worst.yielded = true
+		worst.nc.Close()
+		delete(s.conns, worst)
+	}
+	return len(s.conns) < bound
+}
+
+// enter notes what a connection is at now. False: it has yielded and is closed.
+func (s *Server) enter(x *Exchange, st state) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x.state, x.since = st, time.Now()
+	return !x.yielded
 }
 
 // Leave makes every answer the last on its connection.
@@ -138,7 +244,7 @@
 		s.listener.Close()
 	}
 	for x := range s.conns {
-		if x.idle {
+		if x.state == idle || x.state == silent {
 			x.nc.SetReadDeadline(time.Now().Add(lastLook))
 		}
 	}
@@ -160,59 +266,65 @@
 	}
 }
 
-func (s *Server) limit(set, otherwise time.Duration) time.Time {
+func after(set, otherwise time.Duration) time.Time {
 	if set <= 0 {
 		set = otherwise
 	}
 	return time.Now().Add(set)
 }
 
-// await waits for the first byte of a request. False: the connection is to end.
+// await waits for the first byte of a request and sets the time by which the request must be in. False: the
+// connection is to end.
 func (s *Server) await(x *Exchange) bool {
 	s.mu.Lock()
-	x.idle = true
-	if s.closed.Load() {
-		x.nc.SetReadDeadline(time.Now().Add(lastLook))
+	first, until := x.state == silent, after(s.IdleLimit, idleLimit)
+	if first {
+		until = x.began.Add(cmp.Or(s.FirstLimit, firstLimit))
 	} else {
-		x.nc.SetReadDeadline(s.limit(s.IdleLimit, time.Minute))
+		x.state, x.since = idle, time.Now()
 	}
+	if s.closed.Load() {
+		until = time.Now().Add(lastLook)
+	}
+	x.nc.SetReadDeadline(until)
 	s.mu.Unlock()
-	_, err := x.r.Peek(1)
-	s.mu.Lock()
-	x.idle = false
-	s.mu.Unlock()
-	return err == nil
+	if _, err := x.r.Peek(1); err != nil || !s.enter(x, reading) {
+		return false
+	}
+	if !first || s.closed.Load() {
+		x.nc.SetReadDeadline(after(s.ReadLimit, readLimit))
+	}
+	return true
 }
 
 func (s *Server) serve(x *Exchange) {
-	for {
-		if !s.await(x) {
-			x.nc.Close()
-			return
-		}
+	defer x.nc.Close()
+	for s.await(x) {
 		x.Start, x.wake, x.once = time.Now(), make(chan struct{}), &sync.Once{}
-		x.nc.SetReadDeadline(s.limit(s.ReadLimit, 10*time.Second))
 		var err error
 		if x.Request, err = ReadRequest(x.r); err != nil {
-			if status := StatusOf(err); status != 0 {
+			if status := StatusOf(err); status != 0 && s.enter(x, ending) {
 				s.end(x, s.refusal(status, err))
 			}
-			x.nc.Close()
+			return
+		}
+		if !s.enter(x, open) {
 			return
 		}
 		reply := s.handle(x)
 		if reply == nil {
-			x.nc.Close()
 			return
 		}
 		closing := x.Close || s.leaving.Load()
 		out := AppendResponse(nil, reply.Status, reply.Header, reply.Body, closing)
-		x.nc.SetWriteDeadline(s.limit(s.WriteLimit, 2*time.Second))
-		if _, err := x.nc.Write(out); err != nil || closing {
-			if err == nil {
+		x.nc.SetWriteDeadline(after(s.WriteLimit, writeLimit))
+		if _, err := x.nc.Write(out); err != nil {
+			return
+		}
+		if closing {
+			if s.enter(x, ending) {
 				linger(x)
 			}
-			x.nc.Close()
 			return
 		}
 	}
@@ -239,19 +351,37 @@
 
 // end writes a last answer.
 func (s *Server) end(x *Exchange, reply *Reply) {
-	x.nc.SetWriteDeadline(s.limit(s.WriteLimit, 2*time.Second))
+	x.nc.SetWriteDeadline(after(s.WriteLimit, writeLimit))
 	if _, err := x.nc.Write(AppendResponse(nil, reply.Status, reply.Header, reply.Body, true)); err == nil {
 		linger(x)
 	}
 	x.nc.Close()
 }
 
+// How long a client may go on sending after its last answer, how long it may pause, and how much is taken of it in
+// which time: a body of 60 MB is read in about two seconds, and many of them leave the core to others.
+const (
+	lingerFor   = 3 * time.Second
+	lingerPause = 250 * time.Millisecond
+	lingerPiece = 64 << 10
+	lingerEvery = 2 * time.Millisecond
+)
+
 // linger lets the client read a last answer: to close on bytes that were not read would reset the connection
 // and could take the answer with it.
 func linger(x *Exchange) {
-	if tcp, ok := x.nc.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
-		x.nc.SetReadDeadline(time.Now().Add(250 * time.Millisecond))
-		io.CopyN(io.Discard, x.r, 4*MaxBody) // what comes now is of no matter
+	tcp, ok := x.nc.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	until := time.Now().Add(lingerFor)
+	for now := time.Now(); now.Before(until); now = time.Now() {
+		x.nc.SetReadDeadline(now.Add(lingerPause))
+		// What comes now is of no matter.
+		if n, err := io.CopyN(io.Discard, x.r, lingerPiece); err != nil || n == 0 {
+			return
+		}
+		time.Sleep(lingerEvery)
 	}
 }
 
