Keep calls to a store that resets connections apart from each other

Checked with a trace: 368 connections broke, and on 199 of them three calls were out; six stores did it, each every 80 ms while its shard had no other replica. So a reset that hit one call took two others along. At fault: storepool/pool.go put every call on the first connection with room. Now, for 10 s after a connection broke under a call, calls to that store leave on connections of their own, eight at most. Connections that stores end while idle are ordinary and change nothing.

--- a/storepool/conn.go
+++ b/storepool/conn.go
@@ -60,11 +60,11 @@
 		gone: make(chan struct{}), calls: map[string]*sent{}, stale: map[string]bool{}}
 }
 
-// push queues an item if the connection can take it now.
-func (c *conn) push(it item) bool {
+// push queues an item if the connection can take it now. apart: only where no other call is out on it.
+func (c *conn) push(it item, apart bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.err != nil || c.last || c.busy >= c.pool.limits.Streams && it.call != nil {
+	if c.err != nil || c.last || c.busy >= c.pool.limits.Streams && it.call != nil || apart && c.busy > 0 {
 		return false
 	}
 	for _, a := range it.call {
@@ -198,8 +198,9 @@
 	probes := c.probes
 	c.probes = nil
 	c.mu.Unlock()
-	c.pool.forget(c)
-	if !errors.Is(why, errIdle) && !errors.Is(why, errClosed) {
+	ours := errors.Is(why, errIdle) || errors.Is(why, errClosed)
+	c.pool.forget(c, len(over) > 0 && !ours)
+	if !ours {
 		c.pool.log.WithField("store", c.to.Name).WithField("out", len(over)).WithError(why).Info("store connection ended")
 	}
 	status := policy.Broken
--- a/storepool/pool.go
+++ b/storepool/pool.go
@@ -80,8 +80,16 @@
 type store struct {
 	Store
 	conns []*conn
+	broke time.Time // when a connection last broke under a call
 }
 
+// apartFor is how long after a connection broke under a call calls to that store leave on connections of their own:
+// a reset ends all that is out on a connection, and where one came more may.
+const (
+	apartFor = 10 * time.Second
+	maxApart = 8 // connections to one store: beyond it calls share them again
+)
+
 // New returns a pool that knows no store.
 func New(limits Limits, codec Codec, log *logrus.Entry) *Pool {
 	return &Pool{limits: limits, codec: codec, log: log, stores: map[uint32]*store{}}
@@ -155,8 +163,14 @@
 	if st == nil || st.Presence != policy.Ready || p.closed {
 		return fmt.Errorf("store %d takes nothing new", server)
 	}
+	apart := it.call != nil && time.Since(st.broke) < apartFor
+	for _, c := range st.conns {
+		if c.push(it, apart) {
+			return nil
+		}
+	}
 	for _, c := range st.conns {
-		if c.push(it) {
+		if apart && len(st.conns) >= maxApart && c.push(it, false) {
 			return nil
 		}
 	}
@@ -165,7 +179,7 @@
 	}
 	c := newConn(p, st.Store)
 	st.conns = append(st.conns, c)
-	if !c.push(it) {
+	if !c.push(it, false) {
 		return fmt.Errorf("store %s: call of %d parts is over the limit", st.Name, len(it.call))
 	}
 	go c.run()
@@ -227,14 +241,17 @@
 	}
 }
 
-// forget takes a closed connection out of its store.
-func (p *Pool) forget(c *conn) {
+// forget takes a closed connection out of its store. broke tells that a call was out on it.
+func (p *Pool) forget(c *conn, broke bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	st := p.stores[c.to.ID]
 	if st == nil {
 		return
 	}
+	if broke {
+		st.broke = time.Now()
+	}
 	for i, o := range st.conns {
 		if o == c {
 			st.conns = append(st.conns[:i:i], st.conns[i+1:]...)
