Charge failures at reachable stores in the ranking and not as waiting time

At fault: policy.go fed the charge of six references for a quick failure into the latency of the store, and admission took that for waiting time. And it counted one connection's reset under two parts of a query as two stores felled. Now the share that fails is smoothed on its own. It ranks stores by the same charge, and admission sees the latency over the share that succeeds. A store counts once against a query.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,6 +17,8 @@
 	firstPrior  = 0.2   // weight of the aim as a first guess of latency: the first answers outweigh it
 	clipSample  = 8.0   // one sample counts at most this many references: a lone disaster is no history
 	loadWeight  = 0.5   // of a request held: between a server that does all at once (0) and one by one (1)
+	gainFail    = 0.33  // EWMA gain of the share that fails: after two in a row a server is an outlier
+	mostFails   = 0.8   // share that fails at most in a prediction: beyond it a server is held to be lost
 	failCharge  = 6.0   // references charged to a failed attempt: its time and a further attempt's
 	outlierAt   = 3.0   // references beyond which a server is an outlier against its peers
 	healSpans   = 4.0   // aims after which an untouched bad memory has halved
@@ -42,6 +44,7 @@
 type server struct {
 	Server
 	factor, bears           float64 // smoothed latency, in references at no load; work a second it reports
+	fails                   float64 // smoothed share of its attempts that failed though it can be reached
 	told                    Report
 	touched, heard, toldAt  Micros // of the newest sample; answer or probe result; report
 	ownThen                 int    // own attempts out when the report came
@@ -94,7 +97,8 @@
 	parts            []*part
 	used             []uint32 // servers already asked in this step
 	step, expect     int      // and the parts that the step will have
-	more, breaks     int      // light parts that quick answers allow; attempts whose server died
+	more             int      // light parts that quick answers allow
+	broke            []uint32 // servers that broke connections under it
 	got, wait        float64  // weight that is in; predicted for its slowest part
 	whole, new, over bool     // the first is of the first step's answer
 	full, suspect    bool     // an attempt was turned away; sends one part ahead, it may fell what takes it
@@ -230,7 +234,8 @@
 			a.servers[line.ID] = s
 			a.order = append(a.order, s)
 		} else if line.Started != s.Started { // a fresh process: what was known of the old one is void
-			s.factor, s.told, s.outlier, s.ledger, s.used, s.doubt = 1, NoReport, false, nil, a.now, false
+			s.factor, s.fails, s.told, s.outlier = 1, 0, NoReport, false
+			s.ledger, s.used, s.doubt = nil, a.now, false
 		}
 		s.Server = line
 	}
@@ -336,8 +341,11 @@
 
 // broken gives up a query that broke two servers and had no answer. Until these can be warm its key's queries
 // and retries send one part ahead. It covers requests that crash servers, not resets that spare some parts.
-func (a *Aggregator) broken(q *query) {
-	if q.breaks++; q.step == 1 && q.got == 0 && (q.breaks >= 2 || q.suspect) {
+func (a *Aggregator) broken(q *query, s *server) {
+	if !slices.Contains(q.broke, s.ID) { // one that resets a connection under several parts is no second one
+		q.broke = append(q.broke, s.ID)
+	}
+	if q.step == 1 && q.got == 0 && (len(q.broke) >= 2 || q.suspect) {
 		a.brokeKey, a.brokeTill = q.Key, a.now+a.set.ColdFor
 		a.end(q)
 	}
@@ -376,7 +384,9 @@
 	best := math.Inf(1)
 	for _, s := range a.shards[p.Shard] {
 		full := float64(max(0, s.fullTill-a.now))
-		best = min(best, a.predict(s, p)+full+float64(a.set.FallAfter)*a.work/a.coldShare(s)/2)
+		// What fails is asked for again: that takes time, but far less than the charge by which it ranks.
+		again := a.predict(s, p) * a.pace(s) / a.slowness(s) / (1 - min(a.failing(s), mostFails))
+		best = min(best, again+full+float64(a.set.FallAfter)*a.work/a.coldShare(s)/2)
 	}
 	return best * (1 + a.waiting[p.Shard]/(a.window()*float64(a.set.Reach)))
 }
@@ -426,11 +436,21 @@
 	return max(own, fresh*(s.told.Inflight+own-float64(s.ownThen))+(1-fresh)*own)
 }
 
-// slowness is a server's latency against its peers: its past, healing, or the age of what is unanswered.
-func (a *Aggregator) slowness(s *server) float64 {
+// slowness is a server's latency against its peers, and a charge for what fails there.
+func (a *Aggregator) slowness(s *server) float64 { return a.pace(s) + failCharge*a.failing(s) }
+
+func (a *Aggregator) failing(s *server) float64 { return s.fails * a.memory(s) }
+
+// memory is how much of a bad past still counts: it heals while the server is left alone.
+func (a *Aggregator) memory(s *server) float64 {
+	return math.Exp2(-float64(a.now-s.touched) / (healSpans * a.beat))
+}
+
+// pace is a server's latency alone: its past, healing, or the age of what is unanswered.
+func (a *Aggregator) pace(s *server) float64 {
 	f := s.factor
 	if f > 1 {
-		f = 1 + (f-1)*math.Exp2(-float64(a.now-s.touched)/(healSpans*a.beat))
+		f = 1 + (f-1)*a.memory(s)
 	}
 	for _, t := range s.out {
 		if t.at >= s.heard-1 || t == s.out[0] {
@@ -702,7 +722,7 @@
 		return
 	}
 	if e.Status == Broken {
-		a.broken(p.q)
+		a.broken(p.q, s)
 	}
 	if len(p.live) == 0 && a.mayRepeat(p) {
 		p.state = waiting
@@ -752,6 +772,7 @@
 		c.ref += max(gainRef, 1/(c.n+firstPrior)) * (y - c.ref)
 		a.work = min(a.work, a.refAll)
 		s.heard, s.fulls = a.now, 0
+		s.fails -= gainDown * s.fails
 		a.sample(s, y/c.ref)
 	case Cancelled:
 		a.sample(s, max(y/c.ref, a.slowness(s)))
@@ -760,7 +781,10 @@
 		s.fulls = min(s.fulls+1, mostJams)
 		s.fullTill = a.now + min(Micros(c.ref)<<s.fulls/2, c.Aim)
 		a.sample(s, max(y/c.ref, 2))
-	case Errored, TimedOut, Unconnected, Broken:
+	case Errored, Broken: // it can be reached: what is lost is this attempt
+		s.fails += gainFail * (1 - s.fails)
+		a.sample(s, max(y/c.ref, s.factor))
+	case TimedOut, Unconnected:
 		a.sample(s, max(y/c.ref, failCharge))
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -378,6 +378,42 @@
 	}
 }
 
+// One server that resets a connection under several parts of a query has not been felled by it twice.
+func TestOneServerThatBreaksTwoPartsIsNoSecondOne(t *testing.T) {
+	h := newHand(t, handSettings(), ready(1)...)
+	h.teach(0, 20, 100_000)
+	id, events := h.query(0, 2)
+	for _, s := range pick[Send](h.step(h.a.set.Tick, events...)) {
+		h.step(1000, Outcome{Part: s.Part, Server: 1, Status: Broken, Report: NoReport})
+	}
+	if h.finals(id) > 0 {
+		t.Error("given up though its other attempts remain")
+	}
+}
+
+// Resets cost a shard's only replica its rank, not its queries: they end at once, and what they hit is asked again.
+func TestOnlyReplicaThatResetsIsNotHeldToBeSlow(t *testing.T) {
+	h := newHand(t, handSettings(), ready(1)...)
+	aim := h.a.set.Classes[0].Aim
+	h.a.set.BudgetSpan = 0
+	h.teach(0, 20, aim/10)
+	for range 8 { // each first attempt breaks
+		_, events := h.query(0, 1)
+		sent := pick[Send](h.step(h.a.set.Tick, events...))
+		sent = pick[Send](h.step(aim/100, Outcome{Part: sent[0].Part, Server: 1, Status: Broken, Report: NoReport}))
+		h.step(aim/10, Outcome{Part: sent[0].Part, Try: 1, Server: 1, Status: OK, Report: NoReport})
+	}
+	for range int(h.a.window()) + 1 { // one more than finds room
+		_, events := h.query(0, 1)
+		if got := pick[Refuse](h.step(0, events...)); len(got) > 0 {
+			t.Fatalf("refused behind %d of its parts: slowness %.1f", len(h.a.servers[1].out), h.a.slowness(h.a.servers[1]))
+		}
+	}
+	if !h.a.isOutlier(h.a.servers[1]) {
+		t.Error("a server that resets ranks with sound ones")
+	}
+}
+
 func TestAllSlowTogetherEjectsNobody(t *testing.T) {
 	h := newHand(t, handSettings())
 	h.teach(0, 60, 100_000)
