--- a/broker/broker.go
+++ b/broker/broker.go
@@ -101,6 +101,7 @@
 	part   *part
 	try    int
 	sent   time.Time
+	timer  *timer
 	state  atomic.Int32
 	over   bool // owner's: its outcome was told
 	ended  policy.Status
@@ -162,6 +163,7 @@
 	*Query
 	id    uint64
 	last  time.Time // from about then on it ends because its time is up
+	timer *timer
 	parts []*part
 }
 
@@ -359,7 +361,7 @@
 		b.tell(policy.Part{ID: p.id, Number: q.id, Shard: s.Slice, Key: s.Key, Weight: s.Weight, Hint: s.Hint})
 	}
 	// The module ends every query in time. Should it ever not, the client still gets its one answer.
-	b.timers.add(spec.Deadline.Add(-time.Millisecond), func(time.Time) { b.giveUp(q) })
+	q.timer = b.timers.add(spec.Deadline.Add(-time.Millisecond), func(time.Time) { b.giveUp(q) })
 }
 
 // giveUp ends a query for which the decisions have no more time.
@@ -398,7 +400,9 @@
 	delete(b.queries, q.id)
 	delete(b.byQuery, q.Query)
 	b.open -= 1 + len(q.parts)
+	b.timers.drop(q.timer)
 	for _, p := range q.parts {
+		p.value = nil // an attempt that is still out holds its part
 		b.settle(p)
 	}
 }
@@ -417,6 +421,7 @@
 		return
 	}
 	a.over, a.ended = true, o.Status
+	b.timers.drop(a.timer)
 	if o.Status == policy.OK && b.queries[a.part.q.id] == a.part.q && !a.part.in {
 		a.part.in, a.part.value = true, o.Value
 	}
@@ -512,7 +517,7 @@
 		b.outcome(a, Outcome{Status: policy.Moot, Report: policy.NoReport}, now)
 		return nil
 	}
-	b.timers.add(until, func(now time.Time) { b.abandon(a, policy.TimedOut, now) })
+	a.timer = b.timers.add(until, func(now time.Time) { b.abandon(a, policy.TimedOut, now) })
 	return a
 }
 
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -80,6 +80,22 @@
 }
 
 // What was not begun has never run, and so a keyed query may be refused; one that was begun may not.
+// What is over must not be held up to its deadline: a long one would keep every query and its values in memory.
+func TestNothingIsKeptOfAQueryThatIsOver(t *testing.T) {
+	b, to := start(t, settings(policy.Safe))
+	for range 50 {
+		_, s := submit(b, time.Hour)
+		a := <-to.sent
+		require.True(t, a.Begin())
+		served(a)
+		require.Equal(t, Served, (<-s).Ending)
+	}
+	b.Close()
+	assert.Less(t, len(b.timers), 10) // the decisions' own
+	assert.Empty(t, b.queries)
+	assert.Empty(t, b.parts)
+}
+
 func TestTimeOutTellsWhetherItMayHaveRun(t *testing.T) {
 	for begin, want := range map[bool]Ending{true: Failed, false: Refused} {
 		b, to := start(t, settings(policy.Keyed))
--- a/httpwire/httpwire.go
+++ b/httpwire/httpwire.go
@@ -249,9 +249,7 @@
 		if err != nil || length[0] == '+' {
 			return nil, fmt.Errorf("%w: length", ErrMalformed)
 		}
-		body := make([]byte, n)
-		_, err = io.ReadFull(r, body)
-		return body, unfinished(err)
+		return ReadN(r, nil, int64(n))
 	case toEnd:
 		body, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
 		if err == nil && len(body) > limit {
@@ -262,6 +260,15 @@
 	return nil, nil
 }
 
+// ReadN appends the next n bytes. Room is made as they come: what a peer only announces takes no memory.
+func ReadN(r io.Reader, to []byte, n int64) ([]byte, error) {
+	buf := bytes.NewBuffer(to)
+	if _, err := io.CopyN(buf, r, n); err != nil {
+		return nil, unfinished(err)
+	}
+	return buf.Bytes(), nil
+}
+
 func unfinished(err error) error {
 	if err == io.EOF {
 		return io.ErrUnexpectedEOF
@@ -287,10 +294,8 @@
 		if n == 0 {
 			break
 		}
-		at := len(body)
-		body = append(body, make([]byte, n)...)
-		if _, err := io.ReadFull(r, body[at:]); err != nil {
-			return nil, unfinished(err)
+		if body, err = ReadN(r, body, int64(n)); err != nil {
+			return nil, err
 		}
 		if text, err := h.line(r); err != nil || text != "" {
 			return nil, cmpErr(unfinished(err), fmt.Errorf("%w: end of chunk", ErrMalformed))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -265,7 +265,7 @@
 }
 
 func (a *Aggregator) takeQuery(e Query) {
-	a.taken = append(a.taken, spend{a.now, 1})
+	a.count(&a.taken)
 	if a.queries[e.ID] != nil {
 		return
 	}
@@ -286,7 +286,7 @@
 }
 
 func (a *Aggregator) takePart(e Part) {
-	a.taken = append(a.taken, spend{a.now, 1})
+	a.count(&a.taken)
 	q := a.numbers[e.Number]
 	if q == nil || q.over || a.parts[e.ID] != nil || e.Shard < 0 || e.Shard >= len(a.shards) ||
 		!(e.Weight >= 0) || math.IsInf(e.Weight, 0) {
@@ -610,6 +610,13 @@
 	return float64(len(a.further)+1) <= a.set.BudgetFree+a.set.BudgetShare*float64(len(a.taken))
 }
 
+// count notes one for the budget. Without a budget nothing would ever cut the list.
+func (a *Aggregator) count(list *[]spend) {
+	if a.set.BudgetSpan > 0 {
+		*list = append(dropOld(*list, a.now-a.set.BudgetSpan-a.set.Tick), spend{a.now, 1})
+	}
+}
+
 // spend is work that was taken in or sent, of one part where only the number counts.
 type spend struct {
 	at   Micros
@@ -675,13 +682,15 @@
 		t.idle, t.cure, s.used, s.doubt, a.triedAt = 0, true, a.now, false, a.now
 	}
 	if p.tries > 0 {
-		a.further = append(a.further, spend{a.now, 1})
+		a.count(&a.further)
 	}
 	if len(p.live) == 0 && !p.ran {
 		p.first = a.now
 	}
 	if a.now < s.Started+a.set.ColdFor+a.set.FallAfter {
-		s.ledger = append(s.ledger, spend{a.now, q.cls.ref})
+		s.ledger = append(dropOld(s.ledger, a.now-a.set.FallAfter-a.set.Tick), spend{a.now, q.cls.ref})
+	} else {
+		s.ledger = nil
 	}
 	s.out, p.live = append(s.out, t), append(p.live, t)
 	p.tries++
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -378,6 +378,17 @@
 	}
 }
 
+// Where no budget is set nothing cuts what it counts: it must not be counted.
+func TestNothingIsCountedWithoutABudget(t *testing.T) {
+	set := handSettings()
+	set.BudgetSpan = 0
+	h := newHand(t, set)
+	h.teach(0, 50, 1000)
+	if n := len(h.a.taken) + len(h.a.further); n > 0 {
+		t.Errorf("%d entries are kept for good", n)
+	}
+}
+
 // One server that resets a connection under several parts of a query has not been felled by it twice.
 func TestOneServerThatBreaksTwoPartsIsNoSecondOne(t *testing.T) {
 	h := newHand(t, handSettings(), ready(1)...)
--- a/storepool/conn.go
+++ b/storepool/conn.go
@@ -101,6 +101,10 @@
 	}
 	c.stale[id] = true
 	c.last = c.last || len(c.stale) >= maxStale
+	if c.last && c.busy == 0 { // nothing new comes on it, and its store may never answer
+		go c.close(errIdle)
+		return true
+	}
 	if len(c.pool.codec.AppendGiveUp(nil, id)) == 0 {
 		c.last = true
 		go c.close(errClosed) // not from here: other attempts' ends may wait for the owner
@@ -315,7 +319,7 @@
 	for {
 		m, err := c.next(nc, r)
 		if err == nil {
-			err = c.take(m)
+			err = c.take(m, r.Buffered() > 0)
 		}
 		if err != nil {
 			c.close(fmt.Errorf("read: %w", err))
@@ -337,13 +341,16 @@
 		}
 		c.closeIfIdle(c.pool.idleLimit() * 7 / 8)
 	}
-	nc.SetReadDeadline(time.Now().Add(4 * c.pool.connectTimeout()))
+	// Others wait behind a message that does not end: its length may not fit.
+	nc.SetReadDeadline(time.Now().Add(2 * c.pool.connectTimeout()))
 	return c.pool.codec.Read(r)
 }
 
-// take hands on what a store said. What nobody waits for any more is passed over.
-func (c *conn) take(m Message) error {
+// take hands on what a store said. What nobody waits for any more is passed over. more tells that something stands
+// behind it already: where nothing else is out, it belongs to nothing, and the connection serves no further use.
+func (c *conn) take(m Message, more bool) error {
 	var s *sent
+	known := true
 	var p *probe
 	c.mu.Lock()
 	switch m.Kind {
@@ -356,6 +363,7 @@
 			delete(c.calls, m.ID)
 			c.busy--
 		}
+		known = s != nil || c.stale[m.ID]
 		delete(c.stale, m.ID)
 		c.used = time.Now()
 	case Report:
@@ -363,7 +371,7 @@
 			p, c.probes = c.probes[0], c.probes[1:]
 		}
 	}
-	c.last = c.last || m.Last
+	c.last = c.last || m.Last || more && len(c.calls)+len(c.stale)+len(c.probes) == 0
 	retired := c.last
 	c.mu.Unlock()
 	switch {
@@ -373,6 +381,8 @@
 		p.end(m.Outcome)
 	case m.Kind == Report:
 		return fmt.Errorf("%w: a load report that nobody asked for", ErrMalformed)
+	case !known: // a spoilt id: the answer that it stands for will not come
+		return fmt.Errorf("%w: an answer that nobody asked for", ErrMalformed)
 	}
 	if retired {
 		c.closeIfIdle(0)
--- a/storepool/conn_test.go
+++ b/storepool/conn_test.go
@@ -91,3 +91,18 @@
 		}
 	}
 }
+
+// An answer of an unknown id stands for one that will not come, and what follows an answer though nothing else is
+// out belongs to nothing: neither connection may serve on.
+func TestConnectionThatBroughtWhatIsNotOursServesNoFurtherUse(t *testing.T) {
+	to, _ := attempts(t)
+	c, a := waiting(32), <-to
+	require.True(t, c.push(item{call: []*broker.Attempt{a}}, false))
+	<-c.out // as if written
+	assert.ErrorIs(t, c.take(Message{Kind: Answer, ID: "other"}, false), ErrMalformed)
+	c.stale["late"] = true
+	assert.NoError(t, c.take(Message{Kind: Answer, ID: "late"}, true), "a late answer is ordinary")
+	assert.NoError(t, c.err)
+	assert.NoError(t, c.take(Message{Kind: Answer, ID: PartID(a)}, true))
+	assert.Error(t, c.err, "it is still open")
+}
