Put no new call on a connection that is silent while an answer is due

Ruled out: the limit on open queries (no refusal there) and jams (0). At fault: storepool/pool.go put every call and probe on the first connection with room. Now a connection on which an answer is due and nothing came for half the connect time-out takes nothing new until something comes, and ends once nobody waits on it. A store gets eight connections that way at most. A message must be whole within the connect time-out, since others wait behind it.

--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -32,6 +32,7 @@
 	Busy      Fault = "busy"      // turns the part away
 	Reset     Fault = "reset"     // ends the connection instead of answering
 	Silent    Fault = "silent"    // takes the part and says nothing
+	Mute      Fault = "mute"      // the connection stays open and brings nothing from then on (frames only)
 	Malformed Fault = "malformed" // answers what is not the protocol
 	Down      Fault = "down"      // accepts no connection
 )
@@ -195,6 +196,9 @@
 				send('5', words[0]+" B 0 -\n")
 			case Malformed:
 				send('5', "nonsense")
+			case Mute:
+				io.Copy(io.Discard, r)
+				return
 			case Reset:
 				return
 			case None:
--- a/storepool/conn.go
+++ b/storepool/conn.go
@@ -43,6 +43,7 @@
 	probes []*probe        // written, in order
 	busy   int             // attempts queued or out
 	used   time.Time
+	waits  time.Time // since when something is out and nothing has come; zero: nothing is
 }
 
 // sent is an attempt on a connection.
@@ -60,11 +61,28 @@
 		gone: make(chan struct{}), calls: map[string]*sent{}, stale: map[string]bool{}}
 }
 
-// push queues an item if the connection can take it now. apart: only where no other call is out on it.
-func (c *conn) push(it item, apart bool) bool {
+// silent tells that an answer is due on the connection and nothing has come for long. A way that leads nowhere any
+// more looks like that, and TCP does not tell: what else is put on it is lost, for as long as something is. The
+// lock is held.
+func (c *conn) silent() bool {
+	return !c.waits.IsZero() && time.Since(c.waits) > c.pool.connectTimeout()/2
+}
+
+// fit is how well a connection must suit a call.
+type fit uint8
+
+const (
+	anyRoom fit = iota // it has room
+	sound              // and is not silent
+	apart              // and no other call is out on it
+)
+
+// push queues an item if the connection can take it now and fits.
+func (c *conn) push(it item, want fit) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.err != nil || c.last || c.busy >= c.pool.limits.Streams && it.call != nil || apart && c.busy > 0 {
+	if c.err != nil || c.last || c.busy >= c.pool.limits.Streams && it.call != nil ||
+		want >= sound && c.silent() || want == apart && c.busy > 0 {
 		return false
 	}
 	for _, a := range it.call {
@@ -101,7 +119,7 @@
 	}
 	c.stale[id] = true
 	c.last = c.last || len(c.stale) >= maxStale
-	if c.last && c.busy == 0 { // nothing new comes on it, and its store may never answer
+	if c.busy == 0 && (c.last || c.silent()) { // nothing new comes on it, and its store may never answer
 		go c.close(errIdle)
 		return true
 	}
@@ -148,10 +166,12 @@
 func (c *conn) hangUp() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.err != nil || c.busy > 0 {
+	if c.err != nil || c.busy > 0 && !c.silent() {
+		return
+	}
+	if c.last = true; c.busy > 0 { // silent: what is out comes to its end
 		return
 	}
-	c.last = true
 	if len(c.probes) == 0 && len(c.out) == 0 {
 		go c.close(errIdle)
 	} else {
@@ -162,7 +182,7 @@
 // closeIfIdle closes the connection if nothing is out on it and it was not used for that long.
 func (c *conn) closeIfIdle(unused time.Duration) {
 	c.mu.Lock()
-	idle := c.busy == 0 && time.Since(c.used) >= unused && len(c.out) == 0
+	idle := c.busy == 0 && (time.Since(c.used) >= unused || c.silent()) && len(c.out) == 0
 	if idle {
 		c.last = true // before the lock is let go: no call may slip in between
 	}
@@ -286,6 +306,13 @@
 		}
 		buf = c.pool.codec.AppendCall(buf, c.to, begun, now)
 	}
+	if it.giveUp == "" {
+		c.mu.Lock()
+		if c.waits.IsZero() {
+			c.waits = now
+		}
+		c.mu.Unlock()
+	}
 	// A vanished machine takes no more once its buffers are full: no write without a deadline.
 	nc.SetWriteDeadline(now.Add(c.pool.connectTimeout()))
 	n, err := nc.Write(buf)
@@ -342,7 +369,7 @@
 		c.closeIfIdle(c.pool.idleLimit() * 7 / 8)
 	}
 	// Others wait behind a message that does not end: its length may not fit.
-	nc.SetReadDeadline(time.Now().Add(2 * c.pool.connectTimeout()))
+	nc.SetReadDeadline(time.Now().Add(c.pool.connectTimeout()))
 	return c.pool.codec.Read(r)
 }
 
@@ -371,6 +398,10 @@
 			p, c.probes = c.probes[0], c.probes[1:]
 		}
 	}
+	c.waits = time.Time{}
+	if len(c.calls)+len(c.probes) > 0 {
+		c.waits = time.Now()
+	}
 	c.last = c.last || m.Last || more && len(c.calls)+len(c.stale)+len(c.probes) == 0
 	retired := c.last
 	c.mu.Unlock()
--- a/storepool/conn_test.go
+++ b/storepool/conn_test.go
@@ -52,10 +52,10 @@
 func TestQueuedCallIsTakenBackWhenItsStoreDrains(t *testing.T) {
 	to, _ := attempts(t)
 	c, a := waiting(32), <-to
-	require.True(t, c.push(item{call: []*broker.Attempt{a}}, false))
+	require.True(t, c.push(item{call: []*broker.Attempt{a}}, anyRoom))
 	c.stopSending()
 	assert.False(t, a.Begin(), "it could still be written")
-	assert.False(t, c.push(item{giveUp: "x"}, false), "something new could still go out")
+	assert.False(t, c.push(item{giveUp: "x"}, anyRoom), "something new could still go out")
 	assert.NotSame(t, a, <-to)
 }
 
@@ -63,10 +63,10 @@
 	to, _ := attempts(t)
 	c, a := waiting(1), <-to
 	call := item{call: []*broker.Attempt{a}}
-	require.True(t, c.push(call, false))
-	assert.False(t, c.push(call, false), "more than the connection carries")
+	require.True(t, c.push(call, anyRoom))
+	assert.False(t, c.push(call, anyRoom), "more than the connection carries")
 	c.pool.limits.Streams = 9
-	assert.False(t, c.push(call, false), "two parts of one name")
+	assert.False(t, c.push(call, anyRoom), "two parts of one name")
 	assert.False(t, c.giveUp(&broker.Attempt{Query: a.Query}), "another attempt of that name")
 }
 
@@ -78,7 +78,7 @@
 			select {
 			case a := <-to:
 				c := waiting(32)
-				require.True(t, c.push(item{call: []*broker.Attempt{a}}, false))
+				require.True(t, c.push(item{call: []*broker.Attempt{a}}, anyRoom))
 				if written {
 					require.True(t, a.Begin())
 					c.calls[PartID(a)].written = true
@@ -97,7 +97,7 @@
 func TestConnectionThatBroughtWhatIsNotOursServesNoFurtherUse(t *testing.T) {
 	to, _ := attempts(t)
 	c, a := waiting(32), <-to
-	require.True(t, c.push(item{call: []*broker.Attempt{a}}, false))
+	require.True(t, c.push(item{call: []*broker.Attempt{a}}, anyRoom))
 	<-c.out // as if written
 	assert.ErrorIs(t, c.take(Message{Kind: Answer, ID: "other"}, false), ErrMalformed)
 	c.stale["late"] = true
--- a/storepool/pool.go
+++ b/storepool/pool.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -87,7 +88,9 @@
 // a reset ends all that is out on a connection, and where one came more may.
 const (
 	apartFor = 10 * time.Second
-	maxApart = 8 // connections to one store: beyond it calls share them again
+	// maxSpread is how many connections to one store are opened for calls to leave apart, or not to follow others into
+	// silence. Beyond it calls share what there is.
+	maxSpread = 8
 )
 
 // New returns a pool that knows no store.
@@ -163,29 +166,29 @@
 	if st == nil || st.Presence != policy.Ready || p.closed {
 		return fmt.Errorf("store %d takes nothing new", server)
 	}
-	apart := it.call != nil && time.Since(st.broke) < apartFor
-	for _, c := range st.conns {
-		if c.push(it, apart) {
-			return nil
-		}
+	want := sound
+	if it.call != nil && time.Since(st.broke) < apartFor {
+		want = apart
 	}
-	for _, c := range st.conns {
-		if apart && len(st.conns) >= maxApart && c.push(it, false) {
-			return nil
-		}
+	if p.put(st, it, want) || len(st.conns) >= maxSpread && p.put(st, it, anyRoom) {
+		return nil
 	}
 	if p.limits.Conns > 0 && len(st.conns) >= p.limits.Conns {
 		return fmt.Errorf("store %s: all %d connections are busy", st.Name, len(st.conns))
 	}
 	c := newConn(p, st.Store)
 	st.conns = append(st.conns, c)
-	if !c.push(it, false) {
+	if !c.push(it, anyRoom) {
 		return fmt.Errorf("store %s: call of %d parts is over the limit", st.Name, len(it.call))
 	}
 	go c.run()
 	return nil
 }
 
+func (p *Pool) put(st *store, it item, want fit) bool {
+	return slices.ContainsFunc(st.conns, func(c *conn) bool { return c.push(it, want) })
+}
+
 // GiveUp tells the store that an attempt is given up.
 func (p *Pool) GiveUp(a *broker.Attempt) {
 	p.mu.Lock()
