--- a/httpwire/server.go
+++ b/httpwire/server.go
@@ -25,6 +25,9 @@
 	// MaxConns bounds the connections held. Beyond half of it connections that have lain idle for a while yield to
 	// new ones, at the bound any on which no request is open. If there is none, the new one is turned away with 503.
 	MaxConns int
+	// MaxIdle bounds the connections between requests; 0: only MaxConns does. Beyond it the one idle longest yields
+	// at once: clients have limits of their own, and those that ask once and stay use theirs up.
+	MaxIdle int
 	// FirstLimit is how long a new connection may take until its first request has come in whole, IdleLimit how long
 	// one may lie idle later, ReadLimit how long a later request may take to come in, and WriteLimit how long an
 	// answer may take to go out. Zero: a default.
@@ -33,6 +36,7 @@
 	mu       sync.Mutex
 	conns    map[*Exchange]struct{}
 	extra    int // connections being turned away
+	idles    int // of conns, those between requests
 	warned   time.Time
 	listener net.Listener
 	leaving  atomic.Bool // answers say that the connection ends
@@ -171,7 +175,7 @@
 				defer s.active.Done()
 				s.serve(x)
 				s.mu.Lock()
-				delete(s.conns, x)
+				s.forget(x)
 				s.mu.Unlock()
 			}()
 		}
@@ -215,19 +219,59 @@
 			worst = x
 		}
 	}
-	if worst != nil {
-		worst.yielded = true
-		worst.nc.Close()
-		delete(s.conns, worst)
-	}
+	s.yield(worst)
 	return len(s.conns) < bound
 }
 
+// yield ends a connection, if any, from another one's goroutine. The lock is held, here and in the next two.
+func (s *Server) yield(x *Exchange) {
+	if x != nil {
+		x.yielded = true
+		x.nc.Close()
+		s.forget(x)
+	}
+}
+
+func (s *Server) forget(x *Exchange) {
+	if _, held := s.conns[x]; held {
+		delete(s.conns, x)
+		if x.state == idle {
+			s.idles--
+		}
+	}
+}
+
+func (s *Server) set(x *Exchange, st state) {
+	if _, held := s.conns[x]; held {
+		if x.state == idle {
+			s.idles--
+		}
+		if st == idle {
+			s.idles++
+		}
+	}
+	x.state, x.since = st, time.Now()
+}
+
+// rest notes that a connection is between requests, and ends the one that has been so longest if there are too many.
+func (s *Server) rest(x *Exchange) {
+	if s.set(x, idle); s.MaxIdle <= 0 || s.idles <= s.MaxIdle {
+		return
+	}
+	var oldest *Exchange
+	for o := range s.conns {
+		if o.state == idle && (oldest == nil || o.since.Before(oldest.since)) {
+			oldest = o
+		}
+	}
+	s.yield(oldest)
+}
+
 // enter notes what a connection is at now. False: it has yielded and is closed.
 func (s *Server) enter(x *Exchange, st state) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	x.state, x.since = st, time.Now()
+	s.set(x, st)
 	return !x.yielded
 }
 
@@ -281,7 +325,7 @@
 	if first {
 		until = x.began.Add(cmp.Or(s.FirstLimit, firstLimit))
 	} else {
-		x.state, x.since = idle, time.Now()
+		s.rest(x)
 	}
 	if s.closed.Load() {
 		until = time.Now().Add(lastLook)
--- a/httpwire/server_test.go
+++ b/httpwire/server_test.go
@@ -1,6 +1,7 @@
 package httpwire_test
 
 import (
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -48,6 +49,23 @@
 	}
 }
 
+// Clients that ask once and stay use up what clients may hold: beyond a bound the one idle longest ends, though nobody
+// new comes.
+func TestTooManyIdleConnectionsYieldAtOnce(t *testing.T) {
+	addr, _, _ := serving(t, &httpwire.Server{MaxIdle: 2})
+	var clients []*standin.Client
+	for range 3 {
+		c := standin.Dial(t, addr)
+		require.Equal(t, 200, status(c, "/"))
+		clients = append(clients, c)
+	}
+	_, err := clients[0].R.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	for _, c := range clients[1:] {
+		assert.Equal(t, 200, status(c, "/"))
+	}
+}
+
 // A connection with an open request never yields: the new client is told.
 func TestOpenRequestNeverYields(t *testing.T) {
 	addr, release, gone := serving(t, &httpwire.Server{MaxConns: 2})
