Let a server test wait until its requests are open before it fills the bound

Seen: TestOpenRequestNeverYields failed once among six copies of the tests at once. At fault: the test. Its probe could come while a held request was still on its way in, and that connection may yield. Now the handler tells when a request is open. The program is unchanged.

--- a/httpwire/server_test.go
+++ b/httpwire/server_test.go
@@ -15,7 +15,7 @@
 )
 
 // serving starts a server whose handler answers at once, but for /wait: that waits for the channel it returns, or
-// until the client has left.
+// until the client has left. gone tells which, after a first value when the request was taken.
 func serving(t *testing.T, s *httpwire.Server) (addr string, release chan struct{}, gone chan bool) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -23,6 +23,7 @@
 	s.Log = standin.Log()
 	s.Handle = func(x *httpwire.Exchange) *httpwire.Reply {
 		if x.Path() == "/wait" {
+			gone <- false
 			go func() { <-release; x.Wake() }()
 			left := x.Wait()
 			if gone <- left; left {
@@ -73,16 +74,10 @@
 	for range 2 {
 		c := standin.Dial(t, addr)
 		c.Send("GET", "/wait", "")
+		<-gone // it is open
 		held = append(held, c)
 	}
-	require.Eventually(t, func() bool { // both are taken once a third finds no room
-		c, err := net.Dial("tcp", addr)
-		require.NoError(t, err)
-		defer c.Close()
-		c.SetReadDeadline(time.Now().Add(5 * time.Millisecond))
-		n, _ := c.Read(make([]byte, 12))
-		return n > 0
-	}, 5*time.Second, time.Millisecond)
+	assert.Equal(t, 503, standin.Dial(t, addr).Read().Status)
 	close(release)
 	for _, c := range held {
 		assert.Equal(t, 200, c.Read().Status)
@@ -109,6 +104,7 @@
 	c := standin.Dial(t, addr)
 	c.Send("GET", "/wait", "")
 	c.Send("GET", "/", "")
+	<-gone // it is open
 	c.Close()
 	select {
 	case left := <-gone:
