--- a/Makefile
+++ b/Makefile
@@ -14,12 +14,14 @@
 
 # The example gatherer with both fronts. Start the toy world first, in another terminal.
 run: build
-	EDGE_CONFIG=example/gatherer.json ALDERPROXY_OPENSEARCH=example/opensearch.json bin/alderproxy
+	bin/alderproxy --config example/alderproxy.ini
 
 toy:
 	go run ./example/toy
 
 fuzz:
+	go test ./inifile -run '^$$' -fuzz FuzzRead -fuzztime 20s
+	go test ./document -run '^$$' -fuzz FuzzParse -fuzztime 20s
 	go test ./httpwire -run '^$$' -fuzz FuzzReadRequest -fuzztime 20s
 	go test ./internal/jsonscan -run '^$$' -fuzz FuzzValid -fuzztime 20s
 	go test ./opensearch -run '^$$' -fuzz FuzzParseSearch -fuzztime 20s
--- a/alderproxy.go
+++ b/alderproxy.go
@@ -15,105 +15,147 @@
 
 	"github.com/sirupsen/logrus"
 
-	"alderproxy/contract"
+	"alderproxy/broker"
+	"alderproxy/config"
 	"alderproxy/opensearch"
 	"alderproxy/platform"
 )
 
-// openSearchFile says where the second front listens. ALDERPROXY_OPENSEARCH names another one.
-const openSearchFile = "deploy/opensearch.json"
+// configFile is the operators' own file where none is named.
+const configFile = "deploy/alderproxy.ini"
 
-// Main runs what the environment and the files tell, until SIGTERM or SIGINT. SIGHUP has it read the gatherer's
-// configuration again.
-func Main() error {
+// ConfigPath is the file to use: the one named, else what ALDERPROXY_CONFIG names, else the one of the deployment. It
+// is empty where nothing is named and that one is not there.
+func ConfigPath(named string) string {
+	if named == "" {
+		named = os.Getenv("ALDERPROXY_CONFIG")
+	}
+	if _, err := os.Stat(configFile); named == "" && !errors.Is(err, fs.ErrNotExist) {
+		return configFile
+	}
+	return named
+}
+
+// Serve runs what a file and the environment tell, until SIGTERM or SIGINT. EDGE_CONFIG names the platform's
+// configuration before the file does. SIGHUP has the gatherer's configuration read again.
+func Serve(path string) error {
 	// Each has a channel of its own, so that no burst of one crowds out the other. Go ends a process on a SIGHUP that
 	// nobody takes, and with it every open request: it stays taken to the end, during a planned stop too.
 	signals, hangups := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(hangups, syscall.SIGHUP)
-	logger := logrus.New()
-	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
-		TimestampFormat: "15:04:05.000"})
-	search, err := searchConfig()
+	c, err := load(path)
 	if err != nil {
 		return err
 	}
-	config := os.Getenv("EDGE_CONFIG")
-	if config == "" && search.Listen == "" {
-		return errors.New("nothing to serve: EDGE_CONFIG names no configuration and the OpenSearch front is off")
+	p := &program{config: c, log: logger(c.Log)}
+	defer p.close()
+	if err := p.start(); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-hangups:
+			if p.gatherer != nil {
+				p.reload()
+			}
+		case s := <-signals:
+			p.log.WithField("signal", s.String()).Info("stopping")
+			p.stop(time.Now())
+			return nil
+		case err := <-p.served:
+			return fmt.Errorf("stopped serving: %w", err)
+		}
+	}
+}
+
+func load(path string) (*config.Config, error) {
+	c, err := &config.Config{ID: "alderproxy"}, error(nil)
+	if path = ConfigPath(path); path != "" {
+		if c, err = config.Load(path); err != nil {
+			return nil, err
+		}
+	}
+	if named := os.Getenv("EDGE_CONFIG"); named != "" {
+		c.Gatherer = named
+	}
+	if c.Gatherer == "" && c.OpenSearch == nil {
+		return nil, errors.New("nothing to serve: EDGE_CONFIG names no configuration and the OpenSearch front is off")
+	}
+	return c, nil
+}
+
+func logger(c config.Log) *logrus.Logger {
+	l := logrus.New()
+	l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "15:04:05.000"})
+	if c.Format == "json" {
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	}
-	var front *opensearch.Service
-	if search.Listen != "" {
-		if front, err = opensearch.Start(search, logger.WithField("front", "opensearch")); err != nil {
+	if level, err := logrus.ParseLevel(c.Level); err == nil {
+		l.SetLevel(level)
+	}
+	return l
+}
+
+// program is what one process runs.
+type program struct {
+	config   *config.Config
+	log      *logrus.Logger
+	search   *opensearch.Service
+	gatherer *platform.Gatherer
+	served   <-chan error
+}
+
+func (p *program) start() (err error) {
+	if p.config.OpenSearch != nil {
+		var terms *broker.Terms
+		if terms, err = p.config.OpenSearch.Terms(0, p.config.Own); err != nil {
+			return err
+		}
+		if p.search, err = opensearch.Start(p.config.OpenSearch, terms, nil, p.log.WithField("front", "opensearch")); err != nil {
 			return err
 		}
 	}
-	if search.Contracts != nil {
-		keeper, err := contract.Start(search.Contracts, logger.WithField("contracts", search.Contracts.ID))
+	if p.config.Gatherer != "" {
+		c, err := gathererConfig(p.config.Gatherer)
 		if err != nil {
 			return err
 		}
-		defer keeper.Close()
-		go follow(keeper, front, logger)
-	}
-	var gatherer *platform.Gatherer
-	var served <-chan error
-	if config != "" {
-		if gatherer, err = startGatherer(config, logger); err != nil {
+		useLimits(c)
+		if p.gatherer, err = platform.Start(c, nil, p.log.WithField("gatherer", c.Name)); err != nil {
 			return err
 		}
-		served = gatherer.Served()
+		p.served = p.gatherer.Served()
 	}
-	for {
-		select {
-		case <-hangups:
-			if gatherer != nil {
-				reload(gatherer, config, logger)
-			}
-		case s := <-signals:
-			began := time.Now()
-			logger.WithField("signal", s.String()).Info("stopping")
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				if front != nil {
-					front.Stop(began.Add(platform.ServeOn), began.Add(platform.CutAfter))
-				}
-			}()
-			if gatherer != nil {
-				gatherer.Stop(began)
-			}
-			<-done
-			return nil
-		case err := <-served:
-			return fmt.Errorf("stopped serving: %w", err)
+	return nil
+}
+
+// stop makes a planned stop that began then.
+func (p *program) stop(began time.Time) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if p.search != nil {
+			p.search.Stop(began.Add(platform.ServeOn), began.Add(platform.CutAfter))
 		}
+	}()
+	if p.gatherer != nil {
+		p.gatherer.Stop(began)
 	}
+	<-done
 }
 
+func (p *program) close() {}
+
 // reload hands a configuration that was read again to the gatherer. One that cannot be used changes nothing.
-func reload(g *platform.Gatherer, path string, logger *logrus.Logger) {
-	c, err := gathererConfig(path)
+func (p *program) reload() {
+	c, err := gathererConfig(p.config.Gatherer)
 	if err != nil {
-		logger.WithError(err).Error("new configuration unusable: the old one stands")
+		p.log.WithError(err).Error("new configuration unusable: the old one stands")
 		return
 	}
 	useLimits(c)
-	g.Reload(c)
-}
-
-// follow has the front serve by each new version of the contracts.
-func follow(keeper *contract.Keeper, front *opensearch.Service, logger *logrus.Logger) {
-	for served := uint64(0); ; {
-		changed := keeper.Changed() // before the look, so that no change is missed
-		if book := keeper.Book(); book.Version != served {
-			served = book.Version
-			if err := front.Use(book); err != nil {
-				logger.WithError(err).Error("contracts unusable: the last ones stand")
-			}
-		}
-		<-changed
-	}
+	p.gatherer.Reload(c)
 }
 
 func gathererConfig(path string) (*platform.Config, error) {
@@ -131,27 +173,3 @@
 	}
 	runtime.GOMAXPROCS(max(1, int(c.Cores)))
 }
-
-func startGatherer(path string, logger *logrus.Logger) (*platform.Gatherer, error) {
-	c, err := gathererConfig(path)
-	if err != nil {
-		return nil, err
-	}
-	useLimits(c)
-	return platform.Start(c, logger.WithField("gatherer", c.Name))
-}
-
-func searchConfig() (*opensearch.Config, error) {
-	path, named := os.LookupEnv("ALDERPROXY_OPENSEARCH")
-	if !named {
-		path = openSearchFile
-	}
-	text, err := os.ReadFile(path)
-	if errors.Is(err, fs.ErrNotExist) && !named {
-		return &opensearch.Config{}, nil
-	}
-	if err != nil {
-		return nil, fmt.Errorf("opensearch configuration: %w", err)
-	}
-	return opensearch.ParseConfig(text)
-}
--- a/alderproxy_test.go
+++ b/alderproxy_test.go
@@ -16,8 +16,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"alderproxy/config"
 	"alderproxy/internal/standin"
-	"alderproxy/opensearch"
 	"alderproxy/platform"
 )
 
@@ -26,14 +26,14 @@
 	if os.Getenv("ALDERPROXY_TEST") != "program" {
 		os.Exit(m.Run())
 	}
-	if err := Main(); err != nil {
+	if err := Serve(""); err != nil {
 		fmt.Fprintln(os.Stderr, "alderproxy:", err)
 		os.Exit(1)
 	}
 	os.Exit(0)
 }
 
-func program(t *testing.T, config string) (c *exec.Cmd, path string) {
+func command(t *testing.T, config string) (c *exec.Cmd, path string) {
 	path = filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(path, []byte(config), 0o600))
 	c = exec.Command(os.Args[0])
@@ -43,7 +43,7 @@
 
 // running starts the program and returns once it is ready, with a client of it and its log.
 func running(t *testing.T, config string) (c *exec.Cmd, path string, cl *standin.Client, lines *bufio.Scanner) {
-	c, path = program(t, config)
+	c, path = command(t, config)
 	out, err := c.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, c.Start())
@@ -69,7 +69,7 @@
 	return nil
 }
 
-func config(d *standin.Discovery) string {
+func settings(d *standin.Discovery) string {
 	return fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"settings":%s}`, d.Addr,
 		fmt.Sprintf(standin.Settings, standin.Lookup, 0, 15_000_000))
 }
@@ -80,7 +80,7 @@
 
 func TestPlannedStopEndsWithStatusZero(t *testing.T) {
 	s := standin.NewFrameStore(t)
-	c, _, cl, lines := running(t, config(standin.NewDiscovery(t, standin.Entry("s-1", s, "in_service"))))
+	c, _, cl, lines := running(t, settings(standin.NewDiscovery(t, standin.Entry("s-1", s, "in_service"))))
 	ask(cl, "q")
 	assert.Equal(t, 200, cl.Read().Status)
 	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
@@ -95,14 +95,14 @@
 	s := standin.NewFrameStore(t)
 	entry := standin.Entry("s-1", s, "in_service")
 	old, moved := standin.NewDiscovery(t, entry), standin.NewDiscovery(t, entry)
-	c, path, cl, lines := running(t, config(old))
+	c, path, cl, lines := running(t, settings(old))
 	release := s.Hold()
 	ask(cl, "q1")
 	standin.Next(t, s)
 	require.NoError(t, os.WriteFile(path, []byte(`{"listen":`), 0o600))
 	require.NoError(t, c.Process.Signal(syscall.SIGHUP))
 	logged(t, lines, "new configuration unusable")
-	require.NoError(t, os.WriteFile(path, []byte(config(moved)), 0o600))
+	require.NoError(t, os.WriteFile(path, []byte(settings(moved)), 0o600))
 	require.NoError(t, c.Process.Signal(syscall.SIGHUP))
 	logged(t, lines, `discovery moved`)
 	for target := ""; !strings.Contains(target, "hold_ms"); { // it watches the new one: it has taken its list in
@@ -124,7 +124,7 @@
 
 func TestBadStartEndsWithOneLine(t *testing.T) {
 	for name, config := range map[string]string{"empty": "", "cut": `{"listen":`, "no settings": `{}`} {
-		c, _ := program(t, config)
+		c, _ := command(t, config)
 		var out bytes.Buffer
 		c.Stderr = &out
 		assert.Error(t, c.Run(), name)
@@ -137,11 +137,10 @@
 	require.NoError(t, err)
 	_, err = platform.ParseConfig(text)
 	assert.NoError(t, err)
-	for path, on := range map[string]bool{"deploy/opensearch.json": false, "example/opensearch.json": true} {
-		text, err := os.ReadFile(path)
-		require.NoError(t, err)
-		c, err := opensearch.ParseConfig(text)
+	for path, on := range map[string]bool{"deploy/alderproxy.ini": false, "example/alderproxy.ini": true} {
+		c, err := config.Load(path)
 		require.NoError(t, err, path)
-		assert.Equal(t, on, c.Listen != "", path)
+		assert.Equal(t, on, c.OpenSearch != nil, path)
+		assert.Nil(t, c.Agreement, path)
 	}
 }
--- a/cmd/alderproxy/main.go
+++ b/cmd/alderproxy/main.go
@@ -1,16 +1,8 @@
-// Command alderproxy is one gatherer. Its environment tells where its configuration is; see the README.
+// Command alderproxy is one instance of the broker, and the operators' tool for it; see the README.
 package main
 
 import (
-	"fmt"
 	"os"
-
-	"alderproxy"
 )
 
-func main() {
-	if err := alderproxy.Main(); err != nil {
-		fmt.Fprintln(os.Stderr, "alderproxy:", err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,71 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const good = `[instance]
+id = n1
+folder = /var/lib/alderproxy
+admin = 127.0.0.1:9400
+[log]
+format = json
+[opensearch]
+listen = 127.0.0.1:9200
+[store s-1]
+addr = 127.0.0.1:9301
+[store s-2]
+addr = 127.0.0.1:9302
+cell = 1
+[agreement]
+listen = 127.0.0.1:7401
+stale_after = 2s
+[layout]
+cells = 2
+[class lookup]
+aim = 1s
+give_up = 2s
+[index catalogue]
+class = lookup
+slices = 0
+`
+
+func TestParse(t *testing.T) {
+	c, err := Parse("n1.ini", good)
+	require.NoError(t, err)
+	assert.Equal(t, "json", c.Log.Format)
+	assert.Equal(t, Agreement{Listen: "127.0.0.1:7401", Address: "127.0.0.1:7401", StaleAfter: 2 * time.Second, Speed: 1,
+		Keep: 1000, SnapshotAfter: 200}, *c.Agreement)
+	require.Len(t, c.OpenSearch.Stores, 2)
+	assert.Equal(t, 1, c.OpenSearch.Stores[1].Cell)
+	assert.Len(t, c.Own.Indices, 1)
+	assert.True(t, c.HasShared)
+	alone, err := Parse("f", "[log]\n")
+	require.NoError(t, err)
+	assert.Nil(t, alone.OpenSearch)
+	assert.Nil(t, alone.Agreement)
+	assert.False(t, alone.HasShared)
+}
+
+func TestFaults(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{"id = n1", "id = N 1", `n1.ini:2: instance.id: "N 1" is not made of at most 32 small letters, digits and -`},
+		{"folder = /var/lib/alderproxy\n", "", "n1.ini:13: agreement: needs instance.folder"},
+		{"listen = 127.0.0.1:7401", "address = 127.0.0.1:1", "n1.ini:14: agreement.listen: is missing"},
+		{"stale_after = 2s", "stale_after = 1ms", "n1.ini:16: agreement.stale_after: 1ms is not between 200ms and 1h0m0s"},
+		{"addr = 127.0.0.1:9302", "addr = 127.0.0.1:9301", "n1.ini:12: store s-2.addr: 127.0.0.1:9301 is the address of store s-1"},
+		{"cell = 1\n", "cell = 2\n", "n1.ini:7: opensearch: store s-2 is in cell 2, and the layout has 2"},
+		{"[class lookup]", "[klass lookup]", "n1.ini:19: klass lookup: unknown section"},
+		{"format = json", "format = xml", `n1.ini:6: log.format: "xml" is none of text, json`},
+	} {
+		_, err := Parse("n1.ini", strings.Replace(good, c.old, c.new, 1))
+		if assert.Error(t, err, c.new) {
+			assert.Equal(t, c.want, err.Error())
+		}
+	}
+}
--- /dev/null
+++ b/document/document.go
@@ -0,0 +1,284 @@
+// Package document is the grammar of what instances share: classes with their deadlines and worth, teams' contracts,
+// indices, the layout and the limits. A lone instance reads these sections from its own file; instances that agree
+// hold them as one text. It has no input or output and no clock.
+package document
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"alderproxy/inifile"
+	"alderproxy/policy"
+)
+
+// Kinds are the shared sections; true: each has a name.
+var Kinds = map[string]bool{"layout": false, "limits": false, "class": true, "team": true, "index": true}
+
+// Document is what instances share.
+type Document struct {
+	Text    string // as it was read
+	Layout  Layout
+	Limits  Limits
+	Classes []policy.Class // a team's class is named team/class
+	Teams   []Team
+	Indices []Index
+}
+
+// Layout says how indices are cut and which cells hold what: slice s is held by cells (s+j) mod Cells, j below Reach.
+type Layout struct{ Slices, Cells, Reach int }
+
+// Limits bound what an instance holds and tries.
+type Limits struct {
+	MaxOpen, MaxAttempts int // queries and parts held; attempts of a part
+	SecondCopies, Cancel bool
+	Advice               time.Duration // longest Retry-After; 0: none is given
+	FurtherShare         float64       // further attempts for each query and part taken; 0: no budget but the teams' own
+	FurtherFree          float64       // and as many free ones over FurtherSpan
+	FurtherSpan          time.Duration
+	ColdFor              time.Duration // a store that started is warm by then; 0: stores are never cold
+	ColdShare            float64       // what it bears at first
+	FallMultiple         float64       // more than this multiple of what it bears for FallAfter fells a cold store
+	FallAfter            time.Duration
+}
+
+// Team is a team's contract, beside its classes.
+type Team struct {
+	Name      string
+	QueriesPS float64 // that count in full; 0: unlimited
+	Further   float64 // further attempts for each of its queries and parts; 0: none beyond the limit a part
+}
+
+// Index is one index that can be searched.
+type Index struct {
+	Name, Class string
+	Slices      []int
+}
+
+// Bounds of a document: more is no configuration but a mistake.
+const (
+	maxClasses, maxTeams, maxIndices = 256, 256, 1024
+	maxSlices                        = 4096
+	longest                          = time.Hour
+)
+
+// Parse reads a text that has shared sections only. Its error is inifile.Faults.
+func Parse(name, text string) (*Document, error) {
+	f := inifile.Read(name, text)
+	if !f.Broken() {
+		f.Known(Kinds)
+	}
+	d := Read(f)
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Digest names a text: the first 16 hex digits of its SHA-256.
+func Digest(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:8])
+}
+
+// Shared is the text of a file's shared sections, comments within them included.
+func Shared(f *inifile.File) string {
+	var out strings.Builder
+	lines := strings.SplitAfter(f.Text, "\n")
+	for _, s := range f.Sections {
+		if _, shared := Kinds[s.Kind]; shared {
+			out.WriteString(strings.TrimSpace(strings.Join(lines[s.Line-1:min(s.Last, len(lines))], "")) + "\n\n")
+		}
+	}
+	return strings.TrimSuffix(out.String(), "\n")
+}
+
+// Read reads the shared sections of a file. What is wrong is left in the file's Err.
+func Read(f *inifile.File) *Document {
+	d := &Document{Text: f.Text}
+	if f.Broken() {
+		return d
+	}
+	d.layout(f.Only("layout"))
+	d.limits(f.Only("limits"))
+	teams := map[string]bool{}
+	for _, s := range f.Of("team") {
+		teams[s.Name] = true
+		d.team(s)
+	}
+	for _, s := range f.Of("class") {
+		d.class(s, teams)
+	}
+	for _, s := range f.Of("index") {
+		d.index(s)
+	}
+	for kind, most := range map[string]int{"class": maxClasses, "team": maxTeams, "index": maxIndices} {
+		if all := f.Of(kind); len(all) > most {
+			all[most].Fault("", "over %d sections of the kind %s", most, kind)
+		}
+	}
+	return d
+}
+
+func (d *Document) layout(s *inifile.Section) {
+	d.Layout = Layout{Slices: s.Int("slices", 1, 1, maxSlices), Cells: s.Int("cells", 1, 1, maxSlices),
+		Reach: s.Int("reach", 1, 1, maxSlices)}
+	if d.Layout.Reach > d.Layout.Cells {
+		s.Fault("reach", "%d cells hold a slice, but there are %d", d.Layout.Reach, d.Layout.Cells)
+	}
+	s.Done()
+}
+
+func (d *Document) limits(s *inifile.Section) {
+	d.Limits = Limits{MaxOpen: s.Int("max_open", 1000, 1, 1<<20), MaxAttempts: s.Int("max_attempts", 4, 1, 100),
+		SecondCopies: s.Bool("second_copies", true), Cancel: s.Bool("cancel", true),
+		Advice:       s.Duration("advice", 2*time.Second, 0, longest),
+		FurtherShare: s.Float("further_share", 0, 0, 100), FurtherFree: s.Float("further_free", 10, 0, 1e6),
+		FurtherSpan: s.Duration("further_span", 10*time.Second, time.Second, longest),
+		ColdFor:     s.Duration("cold_for", 0, 0, longest), ColdShare: s.Float("cold_share", 0.1, 0.001, 1),
+		FallMultiple: s.Float("fall_multiple", 2, 0.01, 1000),
+		FallAfter:    s.Duration("fall_after", time.Second, 10*time.Millisecond, longest)}
+	s.Done()
+}
+
+func (d *Document) team(s *inifile.Section) {
+	if !isName(s.Name) {
+		s.Fault("", "a team's name is made of letters, digits, - and _")
+	}
+	d.Teams = append(d.Teams, Team{s.Name, s.Float("queries_per_s", 0, 0, 1e6), s.Float("further", 0, 0, 100)})
+	s.Done()
+}
+
+var effects = map[string]policy.Effect{"safe": policy.Safe, "keyed": policy.Keyed, "unsafe": policy.Unsafe}
+
+func micros(d time.Duration) policy.Micros { return d.Microseconds() }
+
+func (d *Document) class(s *inifile.Section, teams map[string]bool) {
+	team, own, owned := strings.Cut(s.Name, "/")
+	switch {
+	case !isName(team) || owned && !isName(own):
+		s.Fault("", "a class's name is made of letters, digits, - and _, with the team's name and / before it where it is a team's")
+	case owned && !teams[team]:
+		s.Fault("", "there is no [team %s]", team)
+	}
+	s.Need("aim")
+	s.Need("give_up")
+	aim := s.Duration("aim", time.Second, time.Millisecond, longest)
+	give := s.Duration("give_up", longest, time.Millisecond, longest)
+	effect := effects[s.Choice("effect", "safe", "safe", "keyed", "unsafe")]
+	window := s.Duration("window", 0, 0, longest)
+	c := policy.Class{Name: s.Name, Aim: micros(aim), GiveUp: micros(give), Worth: s.Float("worth", 1, 1e-6, 1e6),
+		LateWorth: s.Float("late_worth", 0, 0, 1), Effect: effect, Window: micros(window),
+		Need: s.Float("need", 1, 0.001, 1), PartialEarns: s.Float("partial_earns", 1, 0, 1)}
+	c.Least = s.Float("least", c.Need, 0.001, 1)
+	switch {
+	case give < aim:
+		s.Fault("give_up", "%v is under the aim of %v", give, aim)
+	case effect == policy.Keyed && window == 0:
+		s.Fault("window", "a keyed class needs the time in which stores drop repeats")
+	case effect != policy.Keyed && window != 0:
+		s.Fault("window", "only a keyed class has one")
+	case c.Least > c.Need:
+		s.Fault("least", "%v is over the need of %v", c.Least, c.Need)
+	}
+	d.Classes = append(d.Classes, c)
+	s.Done()
+}
+
+func (d *Document) index(s *inifile.Section) {
+	if !isIndex(s.Name) {
+		s.Fault("", "an index's name is made of small letters, digits, -, _ and . and begins with a letter or digit")
+	}
+	ix := Index{s.Name, s.Need("class"), s.Numbers("slices", d.Layout.Slices)}
+	if c, ok := d.Class(ix.Class); !ok {
+		if ix.Class != "" {
+			s.Fault("class", "there is no [class %s]", ix.Class)
+		}
+	} else if c.Effect != policy.Safe {
+		s.Fault("class", "a search is always safe to repeat, and so must be its class")
+	}
+	d.Indices = append(d.Indices, ix)
+	s.Done()
+}
+
+// Class is a class by its name.
+func (d *Document) Class(name string) (policy.Class, bool) {
+	for _, c := range d.Classes {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return policy.Class{}, false
+}
+
+func isName(s string) bool {
+	for i := range len(s) {
+		if c := s[i] | 0x20; !(c >= 'a' && c <= 'z' || s[i] >= '0' && s[i] <= '9' || i > 0 && (s[i] == '-' || s[i] == '_')) {
+			return false
+		}
+	}
+	return s != "" && len(s) <= 64
+}
+
+// isIndex tells whether a name can stand in a path as it is.
+func isIndex(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		if !(c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || i > 0 && (c == '-' || c == '_' || c == '.')) {
+			return false
+		}
+	}
+	return s != "" && len(s) <= 255
+}
+
+// tick is how often decisions are looked at again.
+const tick = 5 * time.Millisecond
+
+// Settings are the document's terms for the decisions of one of some instances that share the load.
+func (d *Document) Settings(number, fleet int) policy.Settings {
+	l := d.Limits
+	s := policy.Settings{Number: number, Fleet: fleet, Tick: micros(tick), Classes: d.Classes,
+		Shards: d.Layout.Slices, Cells: d.Layout.Cells, Reach: d.Layout.Reach, CallParts: 1,
+		MaxAttempts: l.MaxAttempts, MaxOpen: l.MaxOpen, SecondCopies: l.SecondCopies, MayCancel: l.Cancel,
+		MayAdvise: l.Advice > 0, MaxAdvice: micros(l.Advice), AnswerSlack: micros(4 * tick), DrainGrace: micros(500 * time.Millisecond)}
+	if l.ColdFor > 0 {
+		s.ColdFor, s.ColdShare, s.FallMultiple, s.FallAfter = micros(l.ColdFor), l.ColdShare, l.FallMultiple, micros(l.FallAfter)
+	}
+	share, weights := 0.0, 0.0
+	for _, t := range d.Teams {
+		s.Tenants = append(s.Tenants, policy.Tenant{Name: t.Name, AllowancePer: t.QueriesPS})
+		weight := max(t.QueriesPS, 1)
+		share, weights = share+weight*t.Further, weights+weight
+	}
+	if weights > 0 {
+		share /= weights // the decisions know one budget: the teams' ones, each by its traffic
+	}
+	if l.FurtherShare > 0 {
+		share = l.FurtherShare
+	}
+	if share > 0 {
+		s.BudgetSpan, s.BudgetShare, s.BudgetFree = micros(l.FurtherSpan), share, l.FurtherFree
+	}
+	return s
+}
+
+// Overlay puts the document's classes into a platform's settings: a class of the same name gets the document's
+// times and worth. It names the first one that the platform runs in another way.
+func (d *Document) Overlay(base policy.Settings) (policy.Settings, error) {
+	classes := make([]policy.Class, len(base.Classes))
+	for i, c := range base.Classes {
+		own, ok := d.Class(c.Name)
+		if ok && own.Effect != c.Effect {
+			return base, inifile.Fault{File: "agreed document", At: "class " + c.Name + ".effect",
+				What: "the platform's front runs this class with another effect"}
+		}
+		if ok {
+			own.FetchParts = c.FetchParts
+			c = own
+		}
+		classes[i] = c
+	}
+	base.Classes = classes
+	return base, nil
+}
--- /dev/null
+++ b/document/document_test.go
@@ -0,0 +1,128 @@
+package document
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"alderproxy/inifile"
+	"alderproxy/policy"
+)
+
+const good = `# ours
+[layout]
+slices = 4
+cells = 2
+reach = 2
+
+[limits]
+max_open = 150
+cold_for = 10s
+further_free = 5
+
+[team sales]
+queries_per_s = 20
+further = 0.2
+
+[class sales/lookup]
+aim = 1500ms
+give_up = 4s
+late_worth = 0.3
+
+[class quote-save]
+aim = 1s
+give_up = 2s
+effect = keyed
+window = 3s
+worth = 5
+need = 0.9
+least = 0.5
+
+[index catalogue]
+class = sales/lookup
+slices = 0-2
+`
+
+func TestSettings(t *testing.T) {
+	d, err := Parse("doc", good)
+	require.NoError(t, err)
+	assert.Equal(t, good, d.Text)
+	s := d.Settings(1, 3)
+	require.NoError(t, s.Check())
+	assert.Equal(t, []policy.Class{
+		{Name: "sales/lookup", Aim: 1_500_000, GiveUp: 4_000_000, Worth: 1, LateWorth: 0.3, Need: 1, Least: 1, PartialEarns: 1},
+		{Name: "quote-save", Aim: 1_000_000, GiveUp: 2_000_000, Worth: 5, Effect: policy.Keyed, Window: 3_000_000, Need: 0.9,
+			Least: 0.5, PartialEarns: 1}}, s.Classes)
+	assert.Equal(t, []policy.Tenant{{Name: "sales", AllowancePer: 20}}, s.Tenants)
+	assert.Equal(t, [8]int{4, 2, 2, 1, 3, 1, 150, 4}, [8]int{s.Shards, s.Cells, s.Reach, s.Number, s.Fleet, s.CallParts, s.MaxOpen, s.MaxAttempts})
+	assert.Equal(t, [3]float64{0.2, 5, 10e6}, [3]float64{s.BudgetShare, s.BudgetFree, float64(s.BudgetSpan)})
+	assert.Equal(t, policy.Micros(10_000_000), s.ColdFor)
+	assert.Equal(t, []Index{{"catalogue", "sales/lookup", []int{0, 1, 2}}}, d.Indices)
+}
+
+func TestFaults(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{"reach = 2", "reach = 3", "doc:5: layout.reach: 3 cells hold a slice, but there are 2"},
+		{"max_open = 150", "max_opn = 150", "doc:8: limits.max_opn: unknown key"},
+		{"give_up = 4s", "give_up = 1s", "doc:18: class sales/lookup.give_up: 1s is under the aim of 1.5s"},
+		{"[team sales]", "[team finance]", "doc:16: class sales/lookup: there is no [team sales]"},
+		{"window = 3s", "", "doc:21: class quote-save.window: a keyed class needs the time in which stores drop repeats"},
+		{"effect = keyed", "", "doc:25: class quote-save.window: only a keyed class has one"},
+		{"least = 0.5", "least = 0.95", "doc:28: class quote-save.least: 0.95 is over the need of 0.9"},
+		{"aim = 1s", "", "doc:21: class quote-save.aim: is missing"},
+		{"class = sales/lookup", "class = lookup", "doc:31: index catalogue.class: there is no [class lookup]"},
+		{"class = sales/lookup", "class = quote-save", "doc:31: index catalogue.class: a search is always safe to repeat, and so must be its class"},
+		{"slices = 0-2", "slices = 0-4", "doc:32: index catalogue.slices: 4 is not below 4"},
+		{"[index catalogue]", "[index Catalogue]", "doc:30: index Catalogue: an index's name is made of small letters, digits, -, _ and . and begins with a letter or digit"},
+		{"[class quote-save]", "[class quote/save/x]", "doc:21: class quote/save/x: a class's name is made of letters, digits, - and _, with the team's name and / before it where it is a team's"},
+		{"# ours", "[instance]", "doc:1: instance: unknown section"},
+	} {
+		_, err := Parse("doc", strings.Replace(good, c.old, c.new, 1))
+		if assert.Error(t, err, c.new) {
+			assert.Equal(t, c.want, err.Error())
+		}
+	}
+}
+
+// The shared text of an instance's file is a document, and as a document it says the same.
+func TestShared(t *testing.T) {
+	f := inifile.Read("file", "[instance]\nid = n1\n"+good+"[log]\nlevel = info\n")
+	require.NoError(t, f.Err())
+	text := Shared(f)
+	assert.NotContains(t, text, "instance")
+	assert.NotContains(t, text, "level")
+	a, err := Parse("doc", text)
+	require.NoError(t, err)
+	b, err := Parse("doc", good)
+	require.NoError(t, err)
+	assert.Equal(t, b.Settings(0, 1), a.Settings(0, 1))
+	assert.Equal(t, text, Shared(inifile.Read("doc", text)), "not the same when taken twice")
+	assert.NotEqual(t, Digest(text), Digest(good))
+	assert.Len(t, Digest(text), 16)
+}
+
+func TestOverlay(t *testing.T) {
+	d, err := Parse("doc", good)
+	require.NoError(t, err)
+	base := policy.Settings{Shards: 9, Classes: []policy.Class{{Name: "other", Aim: 7}, {Name: "quote-save", Aim: 9, Effect: policy.Keyed}}}
+	s, err := d.Overlay(base)
+	require.NoError(t, err)
+	assert.Equal(t, 9, s.Shards)
+	assert.Equal(t, base.Classes[0], s.Classes[0])
+	assert.Equal(t, policy.Micros(1_000_000), s.Classes[1].Aim)
+	assert.Equal(t, policy.Micros(9), base.Classes[1].Aim, "the platform's own settings were changed")
+	base.Classes[1].Effect = policy.Unsafe
+	_, err = d.Overlay(base)
+	assert.ErrorContains(t, err, "class quote-save.effect")
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(good)
+	f.Fuzz(func(t *testing.T, text string) {
+		if d, err := Parse("doc", text); err == nil && len(d.Classes) > 0 {
+			assert.NoError(t, d.Settings(0, 1).Check(), "accepted, and the decisions cannot use it")
+		}
+	})
+}
--- a/httpwire/server.go
+++ b/httpwire/server.go
@@ -97,6 +97,9 @@
 	})
 }
 
+// Rearm readies the exchange for another Wait after one that Wake has ended.
+func (x *Exchange) Rearm() { x.wake, x.once = make(chan struct{}), &sync.Once{} }
+
 // Wait returns false once Wake was called, or true when the client has left before.
 func (x *Exchange) Wait() (gone bool) {
 	for {
@@ -344,7 +347,8 @@
 func (s *Server) serve(x *Exchange) {
 	defer x.nc.Close()
 	for s.await(x) {
-		x.Start, x.wake, x.once = time.Now(), make(chan struct{}), &sync.Once{}
+		x.Start = time.Now()
+		x.Rearm()
 		var err error
 		if x.Request, err = ReadRequest(x.r); err != nil {
 			if status := StatusOf(err); status != 0 && s.enter(x, ending) {
--- a/opensearch/front.go
+++ b/opensearch/front.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -14,7 +15,6 @@
 	"alderproxy/broker"
 	"alderproxy/httpwire"
 	"alderproxy/internal/jsonscan"
-	"alderproxy/policy"
 )
 
 // maxItems bounds the searches of one multi-search.
@@ -22,22 +22,19 @@
 
 // front answers searches.
 type front struct {
-	now     atomic.Pointer[terms]
-	indices map[string]index
-	ready   func() bool
-	prefix  string // of query ids: no two starts of a front share one
-	seq     atomic.Uint64
-}
-
-// terms are what queries are served by until the contracts change.
-type terms struct {
 	broker *broker.Broker
-	set    policy.Settings
+	ready  func() bool
+	agreed bool   // answers tell the version of the agreed document
+	prefix string // of query ids: no two starts of a front share one
+	seq    atomic.Uint64
 }
 
+// indices are the front's part of the terms, by name.
+type indices map[string]index
+
 // index is what the configuration says of an index: the class of its queries and the slices that hold it.
 type index struct {
-	class  string
+	class  int
 	slices []int
 }
 
@@ -72,7 +69,6 @@
 type item struct {
 	*search
 	query  *broker.Query
-	terms  *terms
 	answer broker.Answer
 	bad    *failure
 	group  *group
@@ -119,15 +115,27 @@
 	if last == "_msearch" {
 		return f.multi(x, name, params)
 	}
-	it := f.item(x, f.now.Load(), name, x.Body, params)
-	if !f.run(x, []*item{it}) {
+	items := f.run(x, func(t *broker.Terms) ([]*item, error) {
+		return []*item{f.item(x, t, name, x.Body, params)}, nil
+	})
+	if items == nil {
 		return nil
 	}
-	body, bad := f.word(x, it)
+	body, bad := f.word(x, items[0])
 	if bad != nil {
-		return bad.reply()
+		reply := bad.reply()
+		reply.Header = append(reply.Header, f.version(items)...)
+		return reply
+	}
+	return &httpwire.Reply{Status: 200, Header: f.version(items), Body: body}
+}
+
+// version is the header that tells by which version of the agreed document a request was answered.
+func (f *front) version(items []*item) httpwire.Header {
+	if !f.agreed || len(items) == 0 || items[0].bad != nil || items[0].answer.Version == 0 {
+		return nil
 	}
-	return &httpwire.Reply{Status: 200, Body: body}
+	return httpwire.Header{{Name: "X-Config-Version", Value: strconv.FormatUint(items[0].answer.Version, 10)}}
 }
 
 func parseParams(raw string) (map[string]string, error) {
@@ -145,11 +153,10 @@
 }
 
 // item makes a query of a search, or says what is wrong with it.
-func (f *front) item(x *httpwire.Exchange, t *terms, name string, body []byte, params map[string]string) *item {
-	it := &item{terms: t}
-	ix := f.indices[name]
-	class := classOf(t.set, ix.class)
-	if class < 0 || len(ix.slices) == 0 {
+func (f *front) item(x *httpwire.Exchange, t *broker.Terms, name string, body []byte, params map[string]string) *item {
+	it := &item{}
+	ix := t.Front.(indices)[name]
+	if len(ix.slices) == 0 {
 		it.bad = &failure{404, "index_not_found_exception", fmt.Errorf("no such index [%s]", name), 0}
 		return it
 	}
@@ -162,43 +169,58 @@
 		it.bad = &failure{400, kind, err, 0}
 		return it
 	}
-	wait := time.Duration(t.set.Classes[class].GiveUp) * time.Microsecond
+	wait := time.Duration(t.Settings.Classes[ix.class].GiveUp) * time.Microsecond
 	if it.timeout > 0 {
 		wait = min(wait, it.timeout)
 	}
-	it.query = &broker.Query{ID: f.prefix + strconv.FormatUint(f.seq.Add(1), 10), Class: class, Text: it.body,
-		Deadline: x.Start.Add(wait), Meta: &target{name}, Sink: it}
+	it.query = &broker.Query{ID: f.prefix + strconv.FormatUint(f.seq.Add(1), 10), Class: ix.class, Text: it.body,
+		Deadline: x.Start.Add(wait), Meta: &target{name}, Sink: it, Terms: t}
 	for _, s := range ix.slices {
 		it.query.Parts = append(it.query.Parts, broker.Part{Slice: s, Weight: 1 / float64(len(ix.slices))})
 	}
 	return it
 }
 
-// run submits the items and waits until all are answered. False: the client has left.
-func (f *front) run(x *httpwire.Exchange, items []*item) bool {
-	g := &group{x: x}
-	for _, it := range items {
-		if it.group = g; it.bad == nil {
-			g.left.Add(1)
+// run has the request read by the terms of the moment, submits its items and waits until all are answered. Where the
+// terms changed on the way, so that the broker would not take an item as it was read, that one is read again. Nil, and
+// no error: the client has left.
+func (f *front) run(x *httpwire.Exchange, read func(*broker.Terms) ([]*item, error)) []*item {
+	items, _ := read(f.broker.Terms())
+	for {
+		g := &group{x: x}
+		var out []*item
+		for _, it := range items {
+			if it.bad == nil && (it.group == nil || it.answer.Moved) {
+				it.group = g
+				out = append(out, it)
+			}
 		}
-	}
-	if g.left.Load() == 0 {
-		return true
-	}
-	for _, it := range items {
-		if it.bad == nil && !it.terms.broker.Submit(it.query) {
-			it.Final(broker.Answer{Ending: broker.Refused})
+		if len(out) == 0 {
+			return items
 		}
-	}
-	if x.Wait() {
-		for _, it := range items {
-			if it.bad == nil {
-				it.terms.broker.Gone(it.query)
+		g.left.Store(int32(len(out)))
+		for _, it := range out {
+			if !f.broker.Submit(it.query) {
+				it.Final(broker.Answer{Ending: broker.Refused})
+			}
+		}
+		if x.Wait() {
+			for _, it := range out {
+				f.broker.Gone(it.query)
+			}
+			return nil
+		}
+		if !slices.ContainsFunc(out, func(it *item) bool { return it.answer.Moved }) {
+			return items
+		}
+		x.Rearm()
+		again, _ := read(f.broker.Terms())
+		for i, it := range items {
+			if it.bad == nil && it.answer.Moved {
+				items[i] = again[i]
 			}
 		}
-		return false
 	}
-	return true
 }
 
 // word puts an item's answer into words.
@@ -213,6 +235,8 @@
 			return nil, &failure{502, "search_phase_execution_exception", err, 0}
 		}
 		return body, nil
+	case a.Closed:
+		return nil, &failure{503, "cluster_block_exception", errors.New("this instance can not tell that its configuration is still the agreed one"), a.ComeBack}
 	case a.Late:
 		return nil, &failure{504, "timeout_exception", errors.New("the query's time was up before all parts were in"), a.ComeBack}
 	case a.Lost:
@@ -230,11 +254,11 @@
 			return illegal(unsupported("parameter " + key)).reply()
 		}
 	}
-	items, err := f.items(x, name)
-	if err != nil {
+	if _, err := f.items(x, f.broker.Terms(), name); err != nil {
 		return (&failure{400, "parse_exception", err, 0}).reply()
 	}
-	if !f.run(x, items) {
+	items := f.run(x, func(t *broker.Terms) ([]*item, error) { return f.items(x, t, name) })
+	if items == nil {
 		return nil
 	}
 	out := []byte(nil)
@@ -252,11 +276,11 @@
 		out = append(append(out, body[:len(body)-1]...), `,"status":200}`...)
 	}
 	body := fmt.Appendf(nil, `{"took":%d,"responses":[%s]}`, time.Since(x.Start).Milliseconds(), out)
-	return &httpwire.Reply{Status: 200, Header: retryAfter(advice), Body: body}
+	return &httpwire.Reply{Status: 200, Header: append(retryAfter(advice), f.version(items)...), Body: body}
 }
 
 // items reads pairs of lines: a header that names the index, then a body.
-func (f *front) items(x *httpwire.Exchange, name string) ([]*item, error) {
+func (f *front) items(x *httpwire.Exchange, t *broker.Terms, name string) ([]*item, error) {
 	if !bytes.HasSuffix(x.Body, []byte("\n")) {
 		return nil, errors.New("The msearch request must be terminated by a newline [\\n]")
 	}
@@ -268,7 +292,6 @@
 		return nil, fmt.Errorf("%d searches, at most %d", len(lines)/2, maxItems)
 	}
 	var items []*item
-	t := f.now.Load()
 	for i := 0; i < len(lines); i += 2 {
 		own, ignored := name, error(nil)
 		if head := bytes.TrimSpace(lines[i]); len(head) > 0 {
--- a/opensearch/opensearch_test.go
+++ b/opensearch/opensearch_test.go
@@ -4,14 +4,18 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"alderproxy/contract"
+	"alderproxy/broker"
+	"alderproxy/document"
 	"alderproxy/internal/standin"
+	"alderproxy/policy"
+	"alderproxy/storepool"
 )
 
 const docs = `
@@ -24,28 +28,55 @@
 // rig is a front over two stores that hold every slice.
 type rig struct {
 	*Service
+	config *Config
 	stores [2]*standin.Store
 }
 
+// terms are the shared sections of all tests.
+const terms = `
+[layout]
+slices = 2
+[limits]
+max_open = %d
+[class lookup]
+aim = 600ms
+give_up = 2s
+[class report]
+aim = 600ms
+give_up = 2s
+worth = 5
+least = 0.5
+[index catalogue]
+class = lookup
+slices = 0, 1
+[index families]
+class = report
+slices = 0, 1
+`
+
 func start(t *testing.T, maxOpen int) *rig {
-	r := &rig{}
+	r := &rig{config: &Config{Listen: "127.0.0.1:0", MaxConns: 256, Fleet: 1,
+		Limits: storepool.Limits{Streams: 1, Conns: 16, ConnectTimeout: 250_000, ConnIdle: 15_000_000}}}
 	for i := range r.stores {
 		r.stores[i] = standin.NewSearchStore(t, docs)
+		r.config.Stores = append(r.config.Stores, storepool.Store{Name: fmt.Sprint("s-", i), Addr: r.stores[i].Addr,
+			Server: policy.Server{ID: uint32(i + 1), Presence: policy.Ready, Size: 1}})
 	}
-	settings := fmt.Sprintf(standin.Settings, standin.Lookup+","+standin.Report, maxOpen, 15_000_000)
-	c, err := ParseConfig(fmt.Appendf(nil, `{"listen":"127.0.0.1:0","settings":%s,
-		"stores":[{"name":"s-1","addr":%q,"cell":0},{"name":"s-2","addr":%q,"cell":0}],
-		"indices":{"catalogue":{"class":"lookup","slices":[0,1]},"families":{"class":"report","slices":[0,1]},
-		"sales":{"class":"sales/lookup","slices":[0,1]}},
-		"contracts":{"id":"n0","bind":"127.0.0.1:0","admin":"127.0.0.1:0","dir":"unused","peers":{"n0":"127.0.0.1:1"}}}`,
-		settings, r.stores[0].Addr, r.stores[1].Addr))
-	require.NoError(t, err)
-	r.Service, err = Start(c, standin.Log())
+	var err error
+	r.Service, err = Start(r.config, r.terms(t, 0, fmt.Sprintf(terms, maxOpen)), nil, standin.Log())
 	require.NoError(t, err)
-	t.Cleanup(func() { r.server.Close(); r.front.now.Load().broker.Close(); r.pool.Close() })
+	t.Cleanup(func() { r.server.Close(); r.broker.Close(); r.pool.Close() })
 	return r
 }
 
+func (r *rig) terms(t *testing.T, version uint64, text string) *broker.Terms {
+	d, err := document.Parse("test", text)
+	require.NoError(t, err)
+	terms, err := r.config.Terms(version, d)
+	require.NoError(t, err)
+	return terms
+}
+
 func (r *rig) ask(t *testing.T, target, body string) *standin.Client {
 	c := standin.Dial(t, r.Addr())
 	c.Send("POST", target, body)
@@ -83,7 +114,7 @@
 }
 
 func TestMerge(t *testing.T) {
-	r := start(t, 0)
+	r := start(t, 1000)
 	for _, c := range []struct{ name, query, body, ids string }{
 		{"by score", "", `{"query":{"match_all":{}}}`, "acbd"},
 		{"empty body", "", ``, "acbd"},
@@ -107,7 +138,7 @@
 }
 
 func TestStoresGetTheQueryAsItCame(t *testing.T) {
-	r := start(t, 0)
+	r := start(t, 1000)
 	query := `{"match" : {"name":"éß \u00e9"}}`
 	require.Equal(t, 200, r.ask(t, "/catalogue/_search", `{"from":5,"size":3,"query":`+query+`}`).Read().Status)
 	var part string
@@ -126,7 +157,7 @@
 		for both, want := range map[bool]int{false: c.One, true: c.Query} {
 			t.Run(fmt.Sprintf("%s/both=%v", c.Fault, both), func(t *testing.T) {
 				t.Parallel()
-				r := start(t, 0)
+				r := start(t, 1000)
 				for range 6 { // until the decisions know what is late
 					require.Equal(t, 200, r.ask(t, "/catalogue/_search", `{}`).Read().Status)
 				}
@@ -153,7 +184,7 @@
 // A class that takes half of its parts is answered from these, and the answer tells of the failed shard.
 func TestPartialAnswerTellsOfTheFailedShard(t *testing.T) {
 	for _, fault := range []standin.Fault{standin.Error, standin.Partial, standin.Late} {
-		r := start(t, 0)
+		r := start(t, 1000)
 		for _, s := range r.stores {
 			s.SetFaultAt(1, fault)
 		}
@@ -167,7 +198,7 @@
 }
 
 func TestMultiSearchMixesClasses(t *testing.T) {
-	r := start(t, 0)
+	r := start(t, 1000)
 	resp := r.ask(t, "/_msearch", strings.Join([]string{
 		`{"index":"catalogue"}`, `{"size":1}`,
 		`{"index":"nowhere"}`, `{}`,
@@ -202,29 +233,103 @@
 	assert.Equal(t, "2", resp.Header.Get("Retry-After"))
 }
 
-// A change of contracts takes effect at once, and what was taken before is answered as it was taken.
-func TestContractsChangeUnderWay(t *testing.T) {
-	r := start(t, 0)
+// A change of terms takes effect at once, and what was taken before is answered as it was taken.
+func TestTermsChangeUnderWay(t *testing.T) {
+	r := start(t, 1000)
 	var release []func()
 	for _, s := range r.stores {
 		release = append(release, s.Hold())
 	}
 	before := r.ask(t, "/catalogue/_search", `{}`)
 	standin.Next(t, r.stores[0])
-	put := contract.Contract{Team: "sales", Classes: []contract.Class{{Name: "lookup", AimMS: 600, GiveUpMS: 2000, Worth: 1}}}
-	book, err := contract.Book{}.Apply(contract.Change{Put: &put})
-	require.NoError(t, err)
-	require.NoError(t, r.Use(book))
-	assert.Equal(t, 404, r.ask(t, "/catalogue/_search", `{}`).Read().Status, "the index's class is in no contract")
+	require.NoError(t, r.Use(r.terms(t, 2, `
+[layout]
+slices = 2
+[team sales]
+[class sales/lookup]
+aim = 600ms
+give_up = 2s
+[index sales]
+class = sales/lookup
+slices = 0-1
+`)))
+	assert.Equal(t, 404, r.ask(t, "/catalogue/_search", `{}`).Read().Status, "the index is no more")
 	for _, f := range release {
 		f()
 	}
 	assert.Equal(t, 200, before.Read().Status)
 	assert.Equal(t, 200, r.ask(t, "/sales/_search", `{}`).Read().Status)
+	assert.Equal(t, uint64(2), r.Version())
+}
+
+// Changes under load: every search has one answer, none of them refused for the change.
+func TestSearchesWhileTermsChangeQuickly(t *testing.T) {
+	r := start(t, 1000)
+	for _, s := range r.stores { // what comes there is of no matter, and a full channel would hold the store up
+		go func() {
+			for range s.Parts {
+			}
+		}()
+	}
+	done := make(chan map[int]int)
+	for range 4 {
+		go func() {
+			c, count := standin.Dial(t, r.Addr()), map[int]int{}
+			for range 100 {
+				c.Send("POST", "/_msearch", "{\"index\":\"catalogue\"}\n{}\n{\"index\":\"families\"}\n{}\n")
+				for _, a := range read(t, c.Read().Body).Responses {
+					count[a.Status]++
+				}
+			}
+			done <- count
+		}()
+	}
+	sum, version := map[int]int{}, uint64(1)
+	for n := 0; n < 4; {
+		select {
+		case count := <-done:
+			n++
+			for status, k := range count {
+				sum[status] += k
+			}
+		case <-time.After(time.Millisecond):
+			version++
+			require.NoError(t, r.Use(r.terms(t, version, fmt.Sprintf(terms, 500+version%2))))
+		}
+	}
+	assert.Equal(t, map[int]int{200: 800}, sum)
+	assert.Greater(t, version, uint64(20), "the test saw no changes")
+}
+
+// Where the agreement does not hold, new searches are refused at once, with word when to come back.
+func TestClosedGate(t *testing.T) {
+	r := &rig{}
+	s := standin.NewSearchStore(t, docs)
+	r.config = &Config{Listen: "127.0.0.1:0", Fleet: 1, Limits: storepool.Limits{Streams: 1, Conns: 16, ConnectTimeout: 250_000,
+		ConnIdle: 15_000_000}, Stores: []storepool.Store{{Addr: s.Addr, Server: policy.Server{ID: 1, Presence: policy.Ready}}}}
+	var open atomic.Bool
+	open.Store(true)
+	var err error
+	r.Service, err = Start(r.config, r.terms(t, 3, fmt.Sprintf(terms, 10)), func(t *broker.Terms) (bool, time.Duration) {
+		return open.Load() && t.Version == 3, 1500 * time.Millisecond
+	}, standin.Log())
+	require.NoError(t, err)
+	t.Cleanup(func() { r.server.Close(); r.broker.Close(); r.pool.Close() })
+	resp := r.ask(t, "/catalogue/_search", `{}`).Read()
+	assert.Equal(t, 200, resp.Status)
+	assert.Equal(t, "3", resp.Header.Get("X-Config-Version"))
+	open.Store(false)
+	resp = r.ask(t, "/catalogue/_search", `{}`).Read()
+	assert.Equal(t, 503, resp.Status)
+	assert.Equal(t, "2", resp.Header.Get("Retry-After"))
+	assert.Equal(t, "cluster_block_exception", read(t, resp.Body).Error.Type)
+	c := standin.Dial(t, r.Addr())
+	c.Send("GET", "/healthz", "")
+	assert.Equal(t, 503, c.Read().Status)
 }
 
 func TestStopAnswersWhatWasTaken(t *testing.T) {
-	r := start(t, 0)
+	r := start(t, 1000)
 	var release []func()
 	for _, s := range r.stores {
 		release = append(release, s.Hold())
@@ -264,7 +369,7 @@
 }
 
 func TestTimeoutOfTheQueryIsItsDeadline(t *testing.T) {
-	r := start(t, 0)
+	r := start(t, 1000)
 	for _, s := range r.stores {
 		defer s.Hold()()
 	}
@@ -273,7 +378,7 @@
 }
 
 func TestClientThatLeavesClosesItsSearches(t *testing.T) {
-	r := start(t, 0)
+	r := start(t, 1000)
 	for _, s := range r.stores {
 		s.SetFault(standin.Silent)
 	}
@@ -284,7 +389,7 @@
 }
 
 func TestBadRequestsReachNoStore(t *testing.T) {
-	r := start(t, 0)
+	r := start(t, 1000)
 	for _, c := range []struct {
 		target, body string
 		status       int
@@ -315,19 +420,18 @@
 	assert.Empty(t, r.stores[1].Parts)
 }
 
-func TestBadConfigurationIsNamed(t *testing.T) {
-	settings := fmt.Sprintf(standin.Settings, standin.Lookup+","+standin.Save, 0, 1)
-	for want, text := range map[string]string{
-		"malformed": `{`, "unknown key": `{"lissten":""}`, "no address": `{"listen":"here"}`,
-		"are needed":     `{"listen":"127.0.0.1:0"}`,
-		"safe to repeat": `{"listen":"127.0.0.1:0","settings":` + settings + `,"stores":[],"indices":{}}`,
+// What an instance could not serve is named before it is asked to.
+func TestTermsThatThisFrontCannotServe(t *testing.T) {
+	r := start(t, 1000)
+	for text, want := range map[string]string{
+		"[layout]\nslices = 2\ncells = 2\n[class a]\naim = 1s\ngive_up = 2s\n[index i]\nclass = a\nslices = 0-1\n": "index i: no store here holds slice 1",
+		"[layout]\nslices = 2\n": "Classes is empty",
 	} {
-		_, err := ParseConfig([]byte(text))
-		require.ErrorContains(t, err, want)
+		d, err := document.Parse("test", text)
+		require.NoError(t, err)
+		_, err = r.config.Terms(1, d)
+		assert.ErrorContains(t, err, want)
 	}
-	c, err := ParseConfig([]byte(`{"comment":"off","listen":""}`))
-	require.NoError(t, err)
-	assert.Empty(t, c.Listen)
 }
 
 func FuzzParseSearch(f *testing.F) {
