--- /dev/null
+++ b/group/clock.go
@@ -0,0 +1,21 @@
+package group
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"alderproxy/agreed"
+)
+
+// now is the clock that leases rest on: it goes on while the process is stopped and while the machine sleeps, and
+// nobody can set it. Its rate may differ between machines by less than the slack that leases have.
+func now() agreed.Micros {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil { // never on Linux
+		return time.Since(began).Microseconds()
+	}
+	return t.Nano() / 1000
+}
+
+var began = time.Now()
--- /dev/null
+++ b/group/group.go
@@ -0,0 +1,609 @@
+// Package group is an instance's part in a group that holds one configuration: it runs the log (Raft), the calls
+// between instances and the clock for the decisions in agreed, and carries out what these return.
+package group
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	"github.com/sirupsen/logrus"
+
+	"alderproxy/agreed"
+	"alderproxy/peer"
+	"alderproxy/raftstore"
+)
+
+// Config is what an instance is told of its group.
+type Config struct {
+	Name     string
+	Folder   string       // keeps the log; an instance that lost it is another one
+	Listener net.Listener // where the other instances reach it
+	Address  string       // and by which address they know it
+	Key      []byte       // shared by the group; empty: none
+	Bound    time.Duration
+	ServeOn  bool // serve without a lease rather than refuse
+	Speed    int  // divides Raft's usual times; 0: 1
+	// SnapshotAfter is how many entries the log may have until it is compacted; 0: Raft's own.
+	SnapshotAfter int
+	Log           *logrus.Entry
+	// Check says whether this instance could serve by a document, Use has it serve by one. Use is called for one
+	// version after another, from one goroutine.
+	Check func(text string) error
+	Use   func(agreed.Version) error
+}
+
+// Node is an instance's part in its group.
+type Node struct {
+	Config
+	id      raft.ServerID
+	store   *raftstore.Store
+	net     *peer.Net
+	raft    *raft.Raft
+	machine *machine
+	core    *agreed.Core // the loop's
+	lease   atomic.Pointer[agreed.Lease]
+	state   atomic.Pointer[agreed.State]
+	group   atomic.Pointer[string]
+	used    atomic.Uint64 // the version that Use was last called for without an error
+	reason  string        // the loop's: why it does not serve as agreed, as logged last
+
+	mu      sync.Mutex
+	events  []agreed.Event
+	calls   map[uint64]chan agreed.Outcome
+	grants  map[uint64]chan agreed.GrantTo
+	lastNo  uint64
+	wake    chan struct{}
+	stop    chan struct{}
+	use     chan agreed.Version
+	stopped sync.WaitGroup
+}
+
+const (
+	fileName = "agreed.db"
+	keepSnap = 2
+)
+
+// selves are the names of what an instance keeps of itself.
+const (
+	selfName, selfFolder, selfGroup, selfRemoved = "name", "folder", "group", "removed"
+	selfActive                                   = "active" // the version served last
+)
+
+func randomHex(n int) string {
+	b := make([]byte, n)
+	rand.Read(b) // never fails, as its documentation says
+	return hex.EncodeToString(b)
+}
+
+// ErrFounded refuses to begin a group in a folder that has one.
+var ErrFounded = errors.New("the folder belongs to a group already")
+
+// Begin makes a folder the first of a new group, with a first version of the document. The instance that starts in
+// it is the group's only member until others are added.
+func Begin(folder, name, address, text, digest, author string, keep int, at time.Time) error {
+	s, id, err := openFolder(folder, name)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	if group, err := s.Self(selfGroup); err != nil || group != "" {
+		return errors.Join(err, fmt.Errorf("%s: %w", folder, ErrFounded))
+	}
+	group := randomHex(8)
+	first := agreed.Change{Request: "first-" + group, Text: text, Digest: digest, Author: author, Reason: "the group begins", At: at.UnixMilli()}
+	entry, err := agreed.Entry{Found: &agreed.Found{Group: group, Keep: keep, First: first}}.Encode()
+	if err != nil {
+		return err
+	}
+	members := raft.Configuration{Servers: []raft.Server{{ID: id, Address: raft.ServerAddress(address)}}}
+	// The log as a leader of the first term would have begun it.
+	if err := s.StoreLogs([]*raft.Log{
+		{Index: 1, Term: 1, Type: raft.LogConfiguration, Data: raft.EncodeConfiguration(members)},
+		{Index: 2, Term: 1, Type: raft.LogCommand, Data: entry}}); err != nil {
+		return err
+	}
+	if err := s.SetUint64([]byte("CurrentTerm"), 1); err != nil {
+		return err
+	}
+	return s.SetSelf(selfGroup, group)
+}
+
+// openFolder opens what an instance keeps, and begins it in an empty folder: with a name for the folder itself that
+// no other folder has, since an instance that lost its votes must not vote as the one that it was.
+func openFolder(folder, name string) (s *raftstore.Store, id raft.ServerID, err error) {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, "", fmt.Errorf("folder: %w", err)
+	}
+	if s, err = raftstore.Open(filepath.Join(folder, fileName)); err != nil {
+		return nil, "", fmt.Errorf("folder: %w", err)
+	}
+	known, err := s.Self(selfName)
+	own, err2 := s.Self(selfFolder)
+	if err = errors.Join(err, err2); err == nil && own == "" {
+		known, own = name, randomHex(4)
+		err = errors.Join(s.SetSelf(selfName, name), s.SetSelf(selfFolder, own))
+	}
+	if err == nil && known != name {
+		err = fmt.Errorf("it is %s's and not %s's", known, name)
+	}
+	if err != nil {
+		s.Close()
+		return nil, "", fmt.Errorf("folder %s: %w", folder, err)
+	}
+	return s, idOf(name, own), nil
+}
+
+// Open starts an instance. With an empty folder it waits to be added to a group.
+func Open(c Config) (*Node, error) {
+	n := &Node{Config: c, calls: map[uint64]chan agreed.Outcome{}, grants: map[uint64]chan agreed.GrantTo{},
+		wake: make(chan struct{}, 1), stop: make(chan struct{}), use: make(chan agreed.Version, 1)}
+	var err error
+	if n.store, n.id, err = openFolder(c.Folder, c.Name); err != nil {
+		return nil, err
+	}
+	if err := n.start(); err != nil {
+		n.store.Close()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) start() error {
+	group, err := n.store.Self(selfGroup)
+	if err != nil {
+		return err
+	}
+	removed, err := n.store.Self(selfRemoved)
+	if err != nil {
+		return err
+	}
+	n.group.Store(&group)
+	snapshots, err := raft.NewFileSnapshotStoreWithLogger(n.Folder, keepSnap, n.hclog())
+	if err != nil {
+		return fmt.Errorf("folder %s: %w", n.Folder, err)
+	}
+	if err := n.inspect(snapshots); err != nil {
+		return fmt.Errorf("folder %s: %w", n.Folder, err)
+	}
+	n.machine = &machine{tell: n.tell}
+	_, folder, _ := splitID(string(n.id))
+	set := agreed.Defaults(folder, n.Bound.Microseconds(), n.ServeOn)
+	set.Removed = removed != ""
+	n.core = agreed.New(set, agreed.State{})
+	lease := n.core.Lease()
+	n.lease.Store(&lease)
+	n.state.Store(&agreed.State{})
+	// What was served last is at hand before the log is: it is served only under a lease, or where the settings prefer
+	// service to agreement.
+	if text, err := n.store.Self(selfActive); err != nil {
+		return err
+	} else if text != "" {
+		var v agreed.Version
+		if err := json.Unmarshal([]byte(text), &v); err != nil {
+			return fmt.Errorf("folder %s: the version served last: %w", n.Folder, err)
+		}
+		n.serve(v)
+	}
+	t := &transport{id: n.id, addr: raft.ServerAddress(n.Address), calls: make(chan raft.RPC)}
+	handlers := t.handlers(n.stop)
+	handlers[callLease], handlers[callCheck], handlers[callForward], handlers[callApplied] = n.leaseCalled, n.checkCalled, n.forwarded, n.appliedCalled
+	ready := make(chan struct{})
+	for kind, h := range handlers { // nothing is answered before all is there
+		handlers[kind] = func(from string, body []byte, stream io.Reader) ([]byte, error) {
+			select {
+			case <-ready:
+				return h(from, body, stream)
+			case <-n.stop:
+				return nil, errClosed
+			}
+		}
+	}
+	t.net = peer.Listen(peer.Config{ID: string(n.id), Group: func() string { return *n.group.Load() }, Key: n.Key, Log: n.Log}, n.Listener, handlers)
+	n.net = t.net
+	conf := raft.DefaultConfig()
+	conf.LocalID, conf.Logger, conf.MaxAppendEntries = n.id, n.hclog(), 16
+	leads := make(chan bool, 8)
+	conf.NotifyCh = leads
+	if speed := time.Duration(n.Speed); speed > 1 {
+		conf.HeartbeatTimeout /= speed
+		conf.ElectionTimeout /= speed
+		conf.LeaderLeaseTimeout /= speed
+		conf.CommitTimeout /= speed
+	}
+	if n.SnapshotAfter > 0 {
+		conf.SnapshotThreshold, conf.TrailingLogs = uint64(n.SnapshotAfter), uint64(n.SnapshotAfter)/4
+		conf.SnapshotInterval = 2 * time.Second
+	}
+	if n.raft, err = raft.NewRaft(conf, n.machine, n.store, n.store, snapshots, t); err != nil {
+		close(n.stop)
+		n.net.Close()
+		return fmt.Errorf("folder %s: %w", n.Folder, err)
+	}
+	close(ready)
+	for _, run := range []func(){n.loop, n.follow, func() { n.watch(leads) }} {
+		n.stopped.Add(1)
+		go func() { defer n.stopped.Done(); run() }()
+	}
+	return nil
+}
+
+func (n *Node) hclog() hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Output: n.Log.WriterLevel(logrus.DebugLevel), Level: hclog.Info})
+}
+
+// Close stops the instance. It hands nothing over: see HandOver.
+func (n *Node) Close() error {
+	close(n.stop)
+	err := n.raft.Shutdown().Error()
+	n.net.Close()
+	n.tick()
+	n.stopped.Wait()
+	return errors.Join(err, n.store.Close())
+}
+
+// Gate tells whether queries may be taken by a version at this moment, and if not, when to come back.
+func (n *Node) Gate(version uint64) (open bool, comeBack time.Duration) {
+	if n.lease.Load().Allows(now(), version) {
+		return true, 0
+	}
+	return false, n.Bound
+}
+
+// tell hands an event to the loop. It never waits.
+func (n *Node) tell(e agreed.Event) {
+	n.mu.Lock()
+	n.events = append(n.events, e)
+	n.mu.Unlock()
+	n.tick()
+}
+
+func (n *Node) tick() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// loop owns the core.
+func (n *Node) loop() {
+	every := time.Duration(agreed.Defaults("", n.Bound.Microseconds(), false).AskEvery) * time.Microsecond / 2
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.wake:
+		case <-ticker.C:
+		case <-n.stop:
+			return
+		}
+		n.mu.Lock()
+		events := n.events
+		n.events = nil
+		n.mu.Unlock()
+		events = append([]agreed.Event{agreed.Roster{Members: n.Roster()}}, events...)
+		for _, a := range n.core.Step(now(), events) {
+			n.carryOut(a)
+		}
+		state := n.core.State()
+		n.state.Store(&state)
+		if group := state.Group; group != "" && group != *n.group.Load() {
+			n.group.Store(&group)
+			if err := n.store.SetSelf(selfGroup, group); err != nil {
+				n.Log.WithError(err).Error("the group's name could not be kept")
+			}
+		}
+		n.report()
+	}
+}
+
+// report logs when this instance begins or ends not to serve as agreed.
+func (n *Node) report() {
+	version := n.used.Load()
+	reason := n.lease.Load().Reason(now(), version)
+	kind, _, _ := strings.Cut(reason, " for ") // the time in it grows
+	if kind == n.reason {
+		return
+	}
+	n.reason = kind
+	log := n.Fields()
+	switch {
+	case reason == "":
+		log.Info("agreement holds")
+	case n.ServeOn && version > 0 && !n.lease.Load().Removed:
+		log.WithField("why", reason).Warn("serving without agreement, as the settings say")
+	default:
+		log.WithField("why", reason).Warn("not serving")
+	}
+}
+
+// Fields is the log with what every line about the agreement tells.
+func (n *Node) Fields() *logrus.Entry {
+	_, leader := n.raft.LeaderWithID()
+	return n.Log.WithFields(logrus.Fields{"instance": n.Name, "term": n.raft.CurrentTerm(), "version": n.state.Load().Active().Number,
+		"leader": string(leader)})
+}
+
+// watch tells the core when this instance begins or ends to lead.
+func (n *Node) watch(leads <-chan bool) {
+	for {
+		select {
+		case leading := <-leads:
+			term := n.raft.CurrentTerm()
+			n.tell(agreed.Role{Leading: leading, Term: term})
+			n.Fields().WithField("leading", leading).Info("role")
+			if leading {
+				go func() {
+					if n.raft.Barrier(0).Error() == nil {
+						n.tell(agreed.Ready{Term: term})
+					}
+				}()
+			}
+		case <-n.stop:
+			return
+		}
+	}
+}
+
+// Roster is who is a member, by this instance's newest word of the log.
+func (n *Node) Roster() []agreed.Member {
+	f := n.raft.GetConfiguration()
+	if f.Error() != nil {
+		return nil
+	}
+	var all []agreed.Member
+	for _, s := range f.Configuration().Servers {
+		name, folder, err := splitID(string(s.ID))
+		if err == nil {
+			all = append(all, agreed.Member{Name: name, Folder: folder, Addr: string(s.Address), Voter: s.Suffrage == raft.Voter})
+		}
+	}
+	return all
+}
+
+func target(m agreed.Member) peer.Target {
+	return peer.Target{ID: string(idOf(m.Name, m.Folder)), Addr: m.Addr}
+}
+
+func span(m agreed.Micros) time.Duration { return time.Duration(m) * time.Microsecond }
+
+// carryOut does what the core decided. What may wait is done on a goroutine of its own.
+func (n *Node) carryOut(a agreed.Action) {
+	set := agreed.Defaults("", n.Bound.Microseconds(), false)
+	switch a := a.(type) {
+	case agreed.Append:
+		go n.append(a)
+	case agreed.Check:
+		go n.check(a, span(set.CheckFor))
+	case agreed.Reply:
+		n.reply(a)
+	case agreed.AskLease:
+		go n.askLease(a.Seq, span(set.AskEvery*4))
+	case agreed.Verify:
+		go func() {
+			term := n.raft.CurrentTerm()
+			err := n.raft.VerifyLeader().Error()
+			if n.raft.CurrentTerm() != term {
+				term = 0
+			}
+			n.tell(agreed.Verified{Seq: a.Seq, OK: err == nil, Term: term})
+		}()
+	case agreed.GrantTo:
+		n.mu.Lock()
+		to := n.grants[a.Call]
+		delete(n.grants, a.Call)
+		n.mu.Unlock()
+		if to != nil {
+			to <- a
+		}
+	case agreed.SetRoster:
+		go n.setRoster(a)
+	case agreed.Await:
+		go n.await(a.Member, span(set.CheckFor))
+	case agreed.Activate:
+		select { // only the newest counts
+		case <-n.use:
+		default:
+		}
+		n.use <- a.Version
+	case agreed.NewLease:
+		n.lease.Store(&a.Lease)
+		if a.Lease.Removed {
+			if err := n.store.SetSelf(selfRemoved, "yes"); err != nil {
+				n.Log.WithError(err).Error("the removal could not be kept")
+			}
+		}
+	case agreed.Log:
+		n.Fields().Info(a.Text)
+	}
+}
+
+// follow has the instance serve by each version that becomes active.
+func (n *Node) follow() {
+	for {
+		select {
+		case v := <-n.use:
+			if v.Number <= n.used.Load() { // the log is read again from the start
+				continue
+			}
+			if n.serve(v) {
+				text, err := json.Marshal(v)
+				if err == nil {
+					err = n.store.SetSelf(selfActive, string(text))
+				}
+				if err != nil {
+					n.Log.WithError(err).Error("the version in use could not be kept")
+				}
+			}
+			n.tick()
+		case <-n.stop:
+			return
+		}
+	}
+}
+
+// serve has the instance serve by a version.
+func (n *Node) serve(v agreed.Version) bool {
+	log := n.Log.WithFields(logrus.Fields{"instance": n.Name, "version": v.Number, "digest": v.Digest, "author": v.Author, "reason": v.Reason})
+	if err := n.Use(v); err != nil {
+		log.WithError(err).Error("the agreed document cannot be served here: the last one stands until the bound passes")
+		return false
+	}
+	n.used.Store(v.Number)
+	log.Info("version active")
+	return true
+}
+
+func (n *Node) append(a agreed.Append) {
+	text, err := a.Entry.Encode()
+	if err == nil {
+		err = n.raft.Apply(text, 2*time.Second).Error()
+	}
+	if err != nil && a.Request != "" {
+		n.tell(agreed.Lost{Request: a.Request})
+	}
+}
+
+func (n *Node) setRoster(a agreed.SetRoster) {
+	id, addr := idOf(a.Member.Name, a.Member.Folder), raft.ServerAddress(a.Member.Addr)
+	var f raft.IndexFuture
+	switch {
+	case a.Remove:
+		f = n.raft.RemoveServer(id, 0, 5*time.Second)
+	case a.Member.Voter:
+		f = n.raft.AddVoter(id, addr, 0, 5*time.Second)
+	default:
+		f = n.raft.AddNonvoter(id, addr, 0, 5*time.Second)
+	}
+	set := agreed.RosterSet{Seq: a.Seq, OK: true}
+	if err := f.Error(); err != nil {
+		set.OK, set.Why = false, err.Error()
+	}
+	n.tell(agreed.Roster{Members: n.Roster()})
+	n.tell(set)
+}
+
+// await tells once a member has applied all that was agreed on when it was asked for.
+func (n *Node) await(m agreed.Member, within time.Duration) {
+	want, until := n.raft.CommitIndex(), time.Now().Add(within)
+	for time.Now().Before(until) {
+		body, err := n.net.Call(target(m), callApplied, nil, nil, within)
+		var at uint64
+		if err == nil && json.Unmarshal(body, &at) == nil && at >= want {
+			n.tell(agreed.CaughtUp{Folder: m.Folder})
+			return
+		}
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-n.stop:
+			return
+		}
+	}
+}
+
+func (n *Node) appliedCalled(string, []byte, io.Reader) ([]byte, error) {
+	return json.Marshal(n.raft.AppliedIndex())
+}
+
+// check asks a member, or this instance itself, what it says of a change.
+func (n *Node) check(a agreed.Check, within time.Duration) {
+	v := agreed.Verdict{Request: a.Change.Request, Folder: a.Member.Folder}
+	body, err := json.Marshal(a.Change)
+	if err == nil && target(a.Member).ID == string(n.id) {
+		body, err = n.checkCalled("", body, nil)
+	} else if err == nil {
+		body, err = n.net.Call(target(a.Member), callCheck, body, nil, within)
+	}
+	if err != nil {
+		v.Silent, v.Why = true, err.Error()
+	} else {
+		v.Why = string(body)
+		v.Yes = v.Why == ""
+	}
+	n.tell(v)
+}
+
+// checkCalled says why this instance could not serve by a document; nothing: it could.
+func (n *Node) checkCalled(_ string, body []byte, _ io.Reader) ([]byte, error) {
+	var c agreed.Change
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, err
+	}
+	if err := n.Check(c.Text); err != nil {
+		return []byte(err.Error()), nil
+	}
+	return nil, nil
+}
+
+// askLease asks the leader, which may be this instance. Without an answer it asks again with the next one.
+func (n *Node) askLease(seq uint64, within time.Duration) {
+	addr, id := n.raft.LeaderWithID()
+	var body []byte
+	var err error
+	switch id {
+	case "":
+		if body, err = n.askAround(within); err != nil {
+			return
+		}
+	case n.id:
+		body, err = n.leaseCalled(string(n.id), nil, nil)
+	default:
+		body, err = n.net.Call(peer.Target{ID: string(id), Addr: string(addr)}, callLease, nil, nil, within)
+	}
+	var g agreed.GrantTo
+	if err == nil && json.Unmarshal(body, &g) == nil {
+		n.tell(agreed.Granted{Seq: seq, OK: g.OK, Version: g.Version, Removed: g.Removed})
+	}
+}
+
+// askAround asks all whom this instance knows: one that was removed hears of no leader any more.
+func (n *Node) askAround(within time.Duration) ([]byte, error) {
+	for _, m := range n.Roster() {
+		if to := target(m); to.ID != string(n.id) {
+			body, err := n.net.Call(to, callLease, nil, nil, within/2)
+			var g agreed.GrantTo
+			if err == nil && json.Unmarshal(body, &g) == nil && g.OK {
+				return body, nil
+			}
+		}
+	}
+	return nil, errors.New("nobody leads")
+}
+
+// leaseCalled answers who asks for a lease.
+func (n *Node) leaseCalled(from string, _ []byte, _ io.Reader) ([]byte, error) {
+	_, folder, err := splitID(from)
+	if err != nil {
+		return nil, err
+	}
+	answer := make(chan agreed.GrantTo, 1)
+	n.mu.Lock()
+	n.lastNo++
+	call := n.lastNo
+	n.grants[call] = answer
+	n.mu.Unlock()
+	n.tell(agreed.LeaseAsked{Call: call, Folder: folder})
+	select {
+	case g := <-answer:
+		return json.Marshal(g)
+	case <-time.After(2 * time.Second):
+		n.mu.Lock()
+		delete(n.grants, call)
+		n.mu.Unlock()
+		return nil, errors.New("not verified in time")
+	case <-n.stop:
+		return nil, errClosed
+	}
+}
--- /dev/null
+++ b/group/group_test.go
@@ -0,0 +1,204 @@
+package group
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"alderproxy/agreed"
+	"alderproxy/internal/faultnet"
+	"alderproxy/internal/standin"
+)
+
+// rig is a group whose instances reach each other over a faulty network only.
+type rig struct {
+	t       *testing.T
+	faults  *faultnet.Network
+	bound   time.Duration
+	nodes   map[string]*Node
+	configs map[string]Config
+	fronts  map[string]net.Listener
+	behind  map[string]string
+}
+
+func newRig(t *testing.T, bound time.Duration) *rig {
+	r := &rig{t: t, faults: faultnet.New(1), bound: bound, nodes: map[string]*Node{}, configs: map[string]Config{}}
+	t.Cleanup(func() {
+		for _, n := range r.nodes {
+			n.Close()
+		}
+	})
+	return r
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// config makes an instance that does not run yet. Text with "bad" in it is one that it cannot serve by.
+func (r *rig) config(name string) Config {
+	front, own := listen(r.t), listen(r.t)
+	r.faults.Front(name, front, own.Addr().String())
+	c := Config{Name: name, Folder: r.t.TempDir(), Listener: own, Address: front.Addr().String(), Key: []byte("k"), Bound: r.bound,
+		Speed: 5, Log: standin.Log(), Use: func(agreed.Version) error { return nil },
+		Check: func(text string) error {
+			if strings.Contains(text, "bad for "+name) {
+				return fmt.Errorf("%s has no such index", name)
+			}
+			return nil
+		}}
+	r.configs[name] = c
+	return c
+}
+
+func (r *rig) open(c Config) *Node {
+	n, err := Open(c)
+	require.NoError(r.t, err)
+	r.nodes[c.Name] = n
+	return n
+}
+
+// begin starts a group of three that hold version 1.
+func (r *rig) begin() {
+	c := r.config("n1")
+	require.NoError(r.t, Begin(c.Folder, "n1", c.Address, "one", "d1", "test", 100, time.Now()))
+	n1 := r.open(c)
+	for _, name := range []string{"n2", "n3"} {
+		c := r.config(name)
+		r.open(c)
+		o := n1.Do(Order{Add: &agreed.Member{Name: name, Addr: c.Address}}, 15*time.Second)
+		require.Equal(r.t, agreed.Done, o.Status, o.Why)
+	}
+	r.agreed(1)
+}
+
+// agreed waits until all serve by a version, under a lease.
+func (r *rig) agreed(version uint64) {
+	for name, n := range r.nodes {
+		require.Eventually(r.t, func() bool {
+			open, _ := n.Gate(n.Used())
+			return n.Used() == version && open
+		}, 15*time.Second, 5*time.Millisecond, "%s: %+v", name, n.Status())
+	}
+}
+
+func (r *rig) leader() (n *Node) {
+	require.Eventually(r.t, func() bool {
+		for _, o := range r.nodes {
+			if st := o.Status(); st.Leader == o.Name {
+				n = o
+				return true
+			}
+		}
+		return false
+	}, 15*time.Second, 5*time.Millisecond)
+	return n
+}
+
+func change(request string, expect uint64, text string) Order {
+	return Order{Change: &agreed.Change{Request: request, Expect: expect, Text: text, Digest: text, Author: "test"}}
+}
+
+func TestAChangeIsActiveEverywhereAndAskedForTwiceMadeOnce(t *testing.T) {
+	r := newRig(t, time.Second)
+	r.begin()
+	for _, n := range r.nodes { // whoever is asked passes it on
+		o := n.Do(change("a", 1, "two"), 10*time.Second)
+		assert.Equal(t, agreed.Outcome{Request: "a", Status: agreed.Done, Version: 2}, o)
+	}
+	r.agreed(2)
+	o := r.leader().Do(change("b", 1, "other"), 10*time.Second)
+	assert.Equal(t, agreed.Conflict, o.Status)
+}
+
+func TestOneNoMeansNowhere(t *testing.T) {
+	r := newRig(t, time.Second)
+	r.begin()
+	o := r.nodes["n1"].Do(change("a", 1, "bad for n3"), 10*time.Second)
+	assert.Equal(t, agreed.Outcome{Request: "a", Status: agreed.Refused, Instance: "n3", Why: "n3 has no such index"}, o)
+	r.agreed(1)
+	assert.Equal(t, agreed.Done, r.nodes["n2"].Do(change("b", 1, "two"), 10*time.Second).Status)
+	r.agreed(2)
+}
+
+// An instance that is cut off stops by the bound, and the others do without it.
+func TestCutOffInstanceStopsByTheBound(t *testing.T) {
+	r := newRig(t, time.Second)
+	r.begin()
+	cut := r.leader()
+	var others []string
+	for name := range r.nodes {
+		if name != cut.Name {
+			others = append(others, name)
+		}
+	}
+	r.faults.Isolate(cut.Name, others...)
+	o := r.nodes[others[0]].Do(change("a", 1, "two"), 10*time.Second)
+	require.Equal(t, agreed.Done, o.Status, o.Why)
+	done := time.Now()
+	require.Eventually(t, func() bool { open, _ := cut.Gate(cut.Used()); return !open }, 10*time.Second, time.Millisecond)
+	assert.Less(t, time.Since(done), r.bound)
+	assert.Equal(t, uint64(1), cut.Used())
+	r.faults.Clear()
+	r.agreed(2)
+}
+
+func TestRestartedInstanceServesNothingBeforeItKnows(t *testing.T) {
+	r := newRig(t, time.Second)
+	r.begin()
+	c := r.configs["n2"]
+	require.NoError(t, r.nodes["n2"].Close())
+	delete(r.nodes, "n2")
+	require.Equal(t, agreed.Done, r.leader().Do(change("a", 1, "two"), 10*time.Second).Status)
+	r.faults.Isolate("n2", "n1", "n3")
+	var err error
+	c.Listener, err = net.Listen("tcp", c.Listener.Addr().String())
+	require.NoError(t, err)
+	n2 := r.open(c)
+	require.Eventually(t, func() bool { return n2.Used() == 1 }, 10*time.Second, 5*time.Millisecond)
+	for range 50 {
+		open, _ := n2.Gate(n2.Used())
+		require.False(t, open, "it serves by what it was told before it was stopped")
+		time.Sleep(10 * time.Millisecond)
+	}
+	r.faults.Clear()
+	r.agreed(2)
+}
+
+func TestRemovedInstanceStopsAndALostFolderIsAnother(t *testing.T) {
+	r := newRig(t, time.Second)
+	r.begin()
+	lead := r.leader()
+	var gone string
+	for name := range r.nodes {
+		if name != lead.Name {
+			gone = name
+		}
+	}
+	// Its folder is lost: under the old name it must not come in, and must not vote.
+	c := r.configs[gone]
+	require.NoError(t, r.nodes[gone].Close())
+	c.Folder = t.TempDir()
+	c.Listener, _ = net.Listen("tcp", c.Listener.Addr().String())
+	n := r.open(c)
+	o := lead.Do(Order{Add: &agreed.Member{Name: gone, Addr: c.Address}}, 5*time.Second)
+	assert.Equal(t, agreed.Refused, o.Status)
+	assert.Contains(t, o.Why, "another folder")
+	assert.Zero(t, n.Status().Term, "it was asked for its vote")
+	require.Equal(t, agreed.Done, lead.Do(Order{Remove: gone}, 10*time.Second).Status)
+	o = lead.Do(Order{Add: &agreed.Member{Name: gone, Addr: c.Address}}, 15*time.Second)
+	require.Equal(t, agreed.Done, o.Status, o.Why)
+	r.agreed(1)
+	require.Equal(t, agreed.Done, lead.Do(Order{Remove: gone}, 10*time.Second).Status)
+	require.Eventually(t, func() bool { return n.Status().Why == "this instance was removed from its group" }, 10*time.Second, 5*time.Millisecond)
+	o = lead.Do(Order{Add: &agreed.Member{Name: gone, Addr: c.Address}}, 5*time.Second)
+	assert.Contains(t, o.Why, "removed from this group for good")
+}
--- /dev/null
+++ b/group/operate.go
@@ -0,0 +1,207 @@
+package group
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"alderproxy/agreed"
+	"alderproxy/peer"
+)
+
+// Order is what an operator asks of the group. Exactly one field is set.
+type Order struct {
+	Change   *agreed.Change `json:"change,omitempty"`
+	Add      *agreed.Member `json:"add,omitempty"` // its name and address; the folder is asked for there
+	Remove   string         `json:"remove,omitempty"`
+	HandOver *string        `json:"hand_over,omitempty"` // to whom; empty: to any
+}
+
+// forwardPause lies between two tries to find the leader.
+const forwardPause = 50 * time.Millisecond
+
+// changeTry is how long one try to have a change made may take: who leads may be gone without a word.
+const changeTry = 2500 * time.Millisecond
+
+// Do has an order carried out by the leader, wherever that is, and tells what became of it. It tries again for as
+// long as there is time: every order may be repeated without being carried out twice. An Unknown outcome says that
+// nobody could tell; then the same order may be given again.
+func (n *Node) Do(o Order, within time.Duration) agreed.Outcome {
+	until := time.Now().Add(within)
+	out := agreed.Outcome{Why: "nobody leads"}
+	if o.Change != nil {
+		out.Request = o.Change.Request
+	}
+	for time.Now().Before(until) {
+		try := time.Until(until)
+		if o.Change != nil {
+			try = min(try, changeTry)
+		}
+		addr, id := n.raft.LeaderWithID()
+		switch id {
+		case "":
+		case n.id:
+			out = n.order(o, try)
+		default:
+			body, err := json.Marshal(o)
+			if err == nil {
+				body, err = n.net.Call(peer.Target{ID: string(id), Addr: string(addr)}, callForward, body, nil, try)
+			}
+			answer := agreed.Outcome{}
+			if err == nil {
+				err = json.Unmarshal(body, &answer)
+			}
+			if out = answer; err != nil {
+				out = agreed.Outcome{Request: out.Request, Why: err.Error()}
+			}
+		}
+		if out.Status != agreed.Unknown {
+			return out
+		}
+		select {
+		case <-time.After(forwardPause):
+		case <-n.stop:
+			return out
+		}
+	}
+	return out
+}
+
+func (n *Node) forwarded(_ string, body []byte, _ io.Reader) ([]byte, error) {
+	var o Order
+	if err := json.Unmarshal(body, &o); err != nil {
+		return nil, err
+	}
+	return json.Marshal(n.order(o, 20*time.Second))
+}
+
+// order carries an order out here, if this instance leads.
+func (n *Node) order(o Order, within time.Duration) agreed.Outcome {
+	switch {
+	case o.Change != nil:
+		return n.wait(within, func(call uint64) agreed.Event { return agreed.Asked{Call: call, Change: *o.Change} })
+	case o.Add != nil:
+		h, err := n.net.Identify(o.Add.Addr, 2*time.Second)
+		if err != nil {
+			return agreed.Outcome{Status: agreed.Refused, Why: fmt.Sprintf("no instance answers at %s: %v", o.Add.Addr, err)}
+		}
+		name, folder, err := splitID(h.From)
+		switch {
+		case err != nil:
+			return agreed.Outcome{Status: agreed.Refused, Why: err.Error()}
+		case name != o.Add.Name:
+			return agreed.Outcome{Status: agreed.Refused, Why: fmt.Sprintf("%s answers at %s, and not %s", name, o.Add.Addr, o.Add.Name)}
+		}
+		m := agreed.Member{Name: name, Folder: folder, Addr: o.Add.Addr}
+		return n.wait(within, func(call uint64) agreed.Event { return agreed.AddAsked{Call: call, Member: m} })
+	case o.Remove != "":
+		return n.wait(within, func(call uint64) agreed.Event { return agreed.RemoveAsked{Call: call, Name: o.Remove} })
+	case o.HandOver != nil:
+		return n.handOver(*o.HandOver)
+	}
+	return agreed.Outcome{Status: agreed.Refused, Why: "an empty order"}
+}
+
+func (n *Node) wait(within time.Duration, event func(call uint64) agreed.Event) agreed.Outcome {
+	answer := make(chan agreed.Outcome, 1)
+	n.mu.Lock()
+	n.lastNo++
+	call := n.lastNo
+	n.calls[call] = answer
+	n.mu.Unlock()
+	n.tell(event(call))
+	select {
+	case o := <-answer:
+		return o
+	case <-time.After(within):
+	case <-n.stop:
+	}
+	n.mu.Lock()
+	delete(n.calls, call)
+	n.mu.Unlock()
+	return agreed.Outcome{Why: "not decided in time"}
+}
+
+func (n *Node) reply(r agreed.Reply) {
+	n.mu.Lock()
+	to := n.calls[r.Call]
+	delete(n.calls, r.Call)
+	n.mu.Unlock()
+	if to != nil {
+		to <- r.Outcome
+	}
+}
+
+// handOver gives the lead to another instance.
+func (n *Node) handOver(to string) agreed.Outcome {
+	f := n.raft.LeadershipTransfer
+	if to != "" {
+		f = nil
+		for _, m := range n.Roster() {
+			if m.Name == to && m.Voter {
+				f = func() raft.Future {
+					return n.raft.LeadershipTransferToServer(idOf(m.Name, m.Folder), raft.ServerAddress(m.Addr))
+				}
+			}
+		}
+		if to == n.Name {
+			return agreed.Outcome{Status: agreed.Done, Why: to + " leads"}
+		}
+		if f == nil {
+			return agreed.Outcome{Status: agreed.Refused, Why: "there is no instance " + to + " with a vote"}
+		}
+	}
+	err := f().Error()
+	switch {
+	case errors.Is(err, raft.ErrNotLeader):
+		return agreed.Outcome{Why: "this instance does not lead"}
+	case err != nil:
+		return agreed.Outcome{Status: agreed.Refused, Why: err.Error()}
+	}
+	return agreed.Outcome{Status: agreed.Done}
+}
+
+// Status is how an instance sees its group.
+type Status struct {
+	Name     string          `json:"name"`
+	Group    string          `json:"group"`
+	Leader   string          `json:"leader"` // empty: none is known
+	Term     uint64          `json:"term"`
+	Version  uint64          `json:"version"` // the active one, by this instance's log
+	Serving  uint64          `json:"serving"` // the one that it serves by
+	Digest   string          `json:"digest"`
+	Pending  string          `json:"pending,omitempty"` // request of the change under way
+	Lease    int64           `json:"lease_ms"`          // how much longer it may serve by it; 0: it may not
+	Why      string          `json:"why,omitempty"`     // it does not serve as agreed
+	Members  []agreed.Member `json:"members"`
+	LogFirst uint64          `json:"log_first"`
+	LogLast  uint64          `json:"log_last"`
+}
+
+// Status tells it.
+func (n *Node) Status() Status {
+	s, at := n.state.Load(), now()
+	_, leader := n.raft.LeaderWithID()
+	name, _, _ := splitID(string(leader))
+	lease, used := n.lease.Load(), n.used.Load()
+	first, _ := n.store.FirstIndex()
+	st := Status{Name: n.Name, Group: s.Group, Leader: name, Term: n.raft.CurrentTerm(), Version: s.Active().Number, Serving: used,
+		Digest: s.Active().Digest, Why: lease.Reason(at, used), Members: n.Roster(), LogFirst: first, LogLast: n.raft.LastIndex()}
+	if s.Pending != nil {
+		st.Pending = s.Pending.Request
+	}
+	if lease.Holds(at, used) {
+		st.Lease = (lease.Until(used) - at) / 1000
+	}
+	return st
+}
+
+// State is what the log has made here so far.
+func (n *Node) State() agreed.State { return *n.state.Load() }
+
+// Used is the version that this instance serves by; 0: none.
+func (n *Node) Used() uint64 { return n.used.Load() }
--- /dev/null
+++ b/internal/faultnet/faultnet.go
@@ -0,0 +1,156 @@
+// Package faultnet is a stand-in for the network between the instances of a group: it stands before each of them,
+// and loses, delays, repeats and cuts off what they send each other, by who sends to whom.
+package faultnet
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"alderproxy/peer"
+)
+
+// Rule is what happens to the frames on a way.
+type Rule struct {
+	Loss, Twice int           // of 100
+	Delay       time.Duration // at most
+	Cut         bool          // nothing comes through
+}
+
+// Network is the ways between all instances. Names are the part of an instance's id before the first dot.
+type Network struct {
+	mu    sync.Mutex
+	rng   *rand.Rand
+	rules map[[2]string]Rule
+	all   Rule
+
+	Frames, Lost, Twice atomic.Int64
+}
+
+// New returns a network that does no harm.
+func New(seed uint64) *Network {
+	return &Network{rng: rand.New(rand.NewPCG(seed, 3)), rules: map[[2]string]Rule{}}
+}
+
+// All sets what happens on every way that has no rule of its own.
+func (n *Network) All(r Rule) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.all = r
+}
+
+// Set sets what happens to what one sends another, in this direction only.
+func (n *Network) Set(from, to string, r Rule) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rules[[2]string{from, to}] = r
+}
+
+// Clear takes back every rule.
+func (n *Network) Clear() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.rules)
+	n.all = Rule{}
+}
+
+// Isolate cuts an instance off from some others, both ways.
+func (n *Network) Isolate(name string, others ...string) {
+	for _, o := range others {
+		n.Set(name, o, Rule{Cut: true})
+		n.Set(o, name, Rule{Cut: true})
+	}
+}
+
+// draw decides on one frame.
+func (n *Network) draw(from, to string) (times int, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.Frames.Add(1)
+	r, own := n.rules[[2]string{from, to}]
+	if !own {
+		r = n.all
+	}
+	if r.Delay > 0 {
+		delay = time.Duration(n.rng.Int64N(int64(r.Delay)))
+	}
+	switch {
+	case r.Cut || n.rng.IntN(100) < r.Loss:
+		n.Lost.Add(1)
+		return 0, 0
+	case n.rng.IntN(100) < r.Twice:
+		n.Twice.Add(1)
+		return 2, delay
+	}
+	return 1, delay
+}
+
+// Front stands before an instance: what comes in at l goes to behind, by the rules.
+func (n *Network) Front(name string, l net.Listener, behind string) {
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go n.pass(name, c, behind)
+		}
+	}()
+}
+
+func (n *Network) pass(name string, in net.Conn, behind string) {
+	defer in.Close()
+	r := bufio.NewReader(in)
+	first, err := peer.ReadFrame(r) // the greeting tells who dials
+	if err != nil {
+		return
+	}
+	var h peer.Hello
+	if json.Unmarshal(first.Body, &h) != nil {
+		return
+	}
+	from, _, _ := strings.Cut(h.From, ".")
+	out, err := net.DialTimeout("tcp", behind, 2*time.Second)
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	go func() {
+		defer in.Close()
+		n.copy(name, from, bufio.NewReader(out), in, nil)
+	}()
+	n.copy(from, name, r, out, &first)
+}
+
+func (n *Network) copy(from, to string, r io.Reader, w io.WriteCloser, first *peer.Frame) {
+	defer w.Close()
+	for {
+		var f peer.Frame
+		var err error
+		if f, first = deref(first); f.Kind == 0 {
+			if f, err = peer.ReadFrame(r); err != nil {
+				return
+			}
+		}
+		times, delay := n.draw(from, to)
+		time.Sleep(delay)
+		for range times {
+			if _, err := w.Write(f.Append(nil)); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func deref(f *peer.Frame) (peer.Frame, *peer.Frame) {
+	if f == nil {
+		return peer.Frame{}, nil
+	}
+	return *f, nil
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,458 @@
+package peer
+
+import (
+	"bufio"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Hello is how a side names itself.
+type Hello struct {
+	Proto int    `json:"proto"`
+	Group string `json:"group,omitempty"` // empty: of no group yet
+	From  string `json:"from"`            // id of the side that speaks
+	To    string `json:"to,omitempty"`    // whom it means; empty: whoever answers there
+	Nonce string `json:"nonce,omitempty"`
+	Proof string `json:"proof,omitempty"` // that the key is known
+	Error string `json:"error,omitempty"`
+}
+
+const proto = 1
+
+const (
+	shakeLimit = 2 * time.Second // for the handshake, and for the first byte after it
+	idleLimit  = 30 * time.Second
+	maxIdle    = 4   // connections kept to one instance
+	maxConns   = 256 // taken in at once
+	callLimit  = 30 * time.Second
+)
+
+// Errors of calls.
+var (
+	// ErrNeverSent is behind errors of calls that the other side has not seen.
+	ErrNeverSent = errors.New("never sent")
+	// ErrRemote is behind errors that the other side answered with.
+	ErrRemote = errors.New("the other instance says")
+	// ErrRefused is behind errors of the handshake: the other side is not whom we meant, or does not trust us.
+	ErrRefused = errors.New("handshake refused")
+)
+
+// Handler answers a call. stream is what follows it; it ends with the call. It must read what it needs of it.
+type Handler func(from string, body []byte, stream io.Reader) ([]byte, error)
+
+// Config is what a Net is told.
+type Config struct {
+	ID    string        // this instance's
+	Group func() string // the group it belongs to now; empty: none yet
+	Key   []byte        // shared by the group; empty: none
+	Log   *logrus.Entry
+}
+
+// Net is one instance's end of all connections.
+type Net struct {
+	Config
+	l net.Listener
+
+	mu       sync.Mutex
+	handlers map[byte]Handler
+	idle     map[Target][]*conn
+	taken    map[net.Conn]bool
+	closed   bool
+	warned   time.Time
+	wg       sync.WaitGroup
+}
+
+// Target is whom a call goes to.
+type Target struct{ ID, Addr string }
+
+type conn struct {
+	net.Conn
+	r    *bufio.Reader
+	next uint64
+	used time.Time
+}
+
+// Listen begins to take connections. Handle must have been called for all kinds before calls come: so it is given
+// them here.
+func Listen(c Config, l net.Listener, handlers map[byte]Handler) *Net {
+	n := &Net{Config: c, l: l, handlers: handlers, idle: map[Target][]*conn{}, taken: map[net.Conn]bool{}}
+	n.wg.Add(1)
+	go n.accept()
+	return n
+}
+
+// Addr is where this instance listens.
+func (n *Net) Addr() string { return n.l.Addr().String() }
+
+// Close ends all connections and waits until no handler runs.
+func (n *Net) Close() {
+	n.mu.Lock()
+	n.closed = true
+	n.l.Close()
+	for c := range n.taken {
+		c.Close()
+	}
+	for _, all := range n.idle {
+		for _, c := range all {
+			c.Close()
+		}
+	}
+	n.idle = map[Target][]*conn{}
+	n.mu.Unlock()
+	n.wg.Wait()
+}
+
+func (n *Net) proof(side, nonce string) string {
+	if len(n.Key) == 0 {
+		return ""
+	}
+	mac := hmac.New(sha256.New, n.Key)
+	io.WriteString(mac, side+nonce)
+	return hex.EncodeToString(mac.Sum(nil))
+}
+
+func nonce() string {
+	var b [16]byte
+	rand.Read(b[:]) // never fails, as its documentation says
+	return hex.EncodeToString(b[:])
+}
+
+func sendHello(c net.Conn, h Hello) error {
+	body, err := json.Marshal(h)
+	if err != nil {
+		return err
+	}
+	_, err = c.Write(Frame{Kind: kindHello, Body: body}.Append(nil))
+	return err
+}
+
+func readHello(r io.Reader) (Hello, error) {
+	f, err := ReadFrame(r)
+	if err != nil {
+		return Hello{}, err
+	}
+	var h Hello
+	if f.Kind != kindHello || json.Unmarshal(f.Body, &h) != nil || h.Proto != proto {
+		return h, fmt.Errorf("%w: no greeting", ErrFrame)
+	}
+	return h, nil
+}
+
+// dial connects and greets. Three greetings go to and fro: who we are and whom we mean, the other side's name with
+// its proof, our proof.
+func (n *Net) dial(to Target, until time.Time) (*conn, Hello, error) {
+	d := net.Dialer{Deadline: until}
+	nc, err := d.Dial("tcp", to.Addr)
+	if err != nil {
+		return nil, Hello{}, err
+	}
+	c := &conn{Conn: nc, r: bufio.NewReaderSize(nc, 64<<10)}
+	h, err := n.greet(c, to, until)
+	if err != nil {
+		nc.Close()
+		return nil, h, err
+	}
+	return c, h, nil
+}
+
+func (n *Net) greet(c *conn, to Target, until time.Time) (Hello, error) {
+	c.SetDeadline(earlier(until, time.Now().Add(shakeLimit)))
+	own := nonce()
+	if err := sendHello(c, Hello{Proto: proto, Group: n.Group(), From: n.ID, To: to.ID, Nonce: own}); err != nil {
+		return Hello{}, err
+	}
+	h, err := readHello(c.r)
+	switch {
+	case err != nil:
+		return h, err
+	case h.Error != "":
+		return h, fmt.Errorf("%w: %s", ErrRefused, h.Error)
+	case to.ID != "" && h.From != to.ID:
+		return h, fmt.Errorf("%w: %s answers in the place of %s", ErrRefused, h.From, to.ID)
+	case len(n.Key) > 0 && !hmac.Equal([]byte(h.Proof), []byte(n.proof("answers", own+h.Nonce))):
+		return h, fmt.Errorf("%w: %s does not know the group's key", ErrRefused, h.From)
+	}
+	return h, sendHello(c, Hello{Proto: proto, From: n.ID, Proof: n.proof("dials", own+h.Nonce)})
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Identify asks who answers at an address.
+func (n *Net) Identify(addr string, within time.Duration) (Hello, error) {
+	c, h, err := n.dial(Target{Addr: addr}, time.Now().Add(within))
+	if err == nil {
+		c.Close()
+	}
+	return h, err
+}
+
+// Call makes a call and returns what was answered. Where the error is not ErrNeverSent or ErrRemote, the call may
+// have been carried out all the same. stream, if any, follows it in pieces.
+func (n *Net) Call(to Target, kind byte, body []byte, stream io.Reader, within time.Duration) ([]byte, error) {
+	until := time.Now().Add(within)
+	c, err := n.get(to, until)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNeverSent, err)
+	}
+	c.next++
+	f, err := c.call(Frame{kind, c.next, body}, stream, until)
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	n.put(to, c)
+	if f.Kind == kindFail {
+		return nil, fmt.Errorf("%w: %s", ErrRemote, f.Body)
+	}
+	return f.Body, nil
+}
+
+func (c *conn) call(f Frame, stream io.Reader, until time.Time) (Frame, error) {
+	c.SetDeadline(until)
+	if _, err := c.Write(f.Append(nil)); err != nil {
+		return f, err
+	}
+	if stream != nil {
+		if err := c.send(f.Call, stream, until); err != nil {
+			return f, err
+		}
+	}
+	for {
+		got, err := ReadFrame(c.r)
+		if err != nil {
+			return got, err
+		}
+		if got.Call > f.Call || got.Kind != kindDone && got.Kind != kindFail {
+			return got, fmt.Errorf("%w: answers call %d with kind %d", ErrFrame, got.Call, got.Kind)
+		}
+		if got.Call == f.Call { // an earlier one may have been answered twice
+			return got, nil
+		}
+	}
+}
+
+const chunk = 256 << 10
+
+func (c *conn) send(call uint64, stream io.Reader, until time.Time) error {
+	buf := make([]byte, 8+chunk)
+	for i := uint64(0); ; i++ {
+		k, err := io.ReadFull(stream, buf[8:])
+		if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			return err
+		}
+		binary.BigEndian.PutUint64(buf, i)
+		if _, err := c.Write(Frame{kindChunk, call, buf[:8+k]}.Append(nil)); err != nil {
+			return err
+		}
+		if k == 0 {
+			return nil
+		}
+	}
+}
+
+func (n *Net) get(to Target, until time.Time) (*conn, error) {
+	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		return nil, net.ErrClosed
+	}
+	for all := n.idle[to]; len(all) > 0; all = n.idle[to] {
+		c := all[len(all)-1]
+		n.idle[to] = all[:len(all)-1]
+		if time.Since(c.used) < idleLimit/2 && c.alive() {
+			n.mu.Unlock()
+			return c, nil
+		}
+		c.Close()
+	}
+	n.mu.Unlock()
+	c, _, err := n.dial(to, until)
+	return c, err
+}
+
+// alive tells whether an idle connection looks open: a look that must not wait.
+func (c *conn) alive() bool {
+	c.SetReadDeadline(time.Now().Add(time.Microsecond * 50))
+	_, err := c.r.Peek(1)
+	var timeout net.Error
+	return err == nil || errors.As(err, &timeout) && timeout.Timeout()
+}
+
+func (n *Net) put(to Target, c *conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed || len(n.idle[to]) >= maxIdle {
+		c.Close()
+		return
+	}
+	c.used = time.Now()
+	n.idle[to] = append(n.idle[to], c)
+}
+
+func (n *Net) accept() {
+	defer n.wg.Done()
+	for {
+		c, err := n.l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			n.warn("peer not accepted", err)
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		n.mu.Lock()
+		full := n.closed || len(n.taken) >= maxConns
+		if !full {
+			n.taken[c] = true
+			n.wg.Add(1)
+		}
+		n.mu.Unlock()
+		if full {
+			c.Close()
+			continue
+		}
+		go func() {
+			defer n.wg.Done()
+			if err := n.serve(c); err != nil {
+				n.warn("peer connection ended", err)
+			}
+			c.Close()
+			n.mu.Lock()
+			delete(n.taken, c)
+			n.mu.Unlock()
+		}()
+	}
+}
+
+// warn logs what any peer can cause, once a second at most.
+func (n *Net) warn(what string, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if now := time.Now(); !n.closed && now.Sub(n.warned) >= time.Second {
+		n.warned = now
+		n.Log.WithError(err).Warn(what)
+	}
+}
+
+// welcome answers a greeting. Who means somebody else, is of another group or cannot prove the key is told so.
+func (n *Net) welcome(nc net.Conn, r io.Reader) (from string, err error) {
+	nc.SetDeadline(time.Now().Add(shakeLimit))
+	h, err := readHello(r)
+	if err != nil {
+		return "", err
+	}
+	own, answer := n.Group(), Hello{Proto: proto, Group: n.Group(), From: n.ID, Nonce: nonce()}
+	switch {
+	case h.To != "" && h.To != n.ID:
+		answer.Error = fmt.Sprintf("%s is meant and %s is here", h.To, n.ID)
+	case h.Group != "" && own != "" && h.Group != own:
+		answer.Error = "of another group"
+	}
+	answer.Proof = n.proof("answers", h.Nonce+answer.Nonce)
+	if err := sendHello(nc, answer); err != nil {
+		return "", err
+	}
+	if answer.Error != "" {
+		return "", fmt.Errorf("%w: from %s: %s", ErrRefused, h.From, answer.Error)
+	}
+	last, err := readHello(r)
+	if err != nil {
+		return "", err
+	}
+	if !hmac.Equal([]byte(last.Proof), []byte(n.proof("dials", h.Nonce+answer.Nonce))) {
+		return "", fmt.Errorf("%w: %s does not know the group's key", ErrRefused, h.From)
+	}
+	return h.From, nil
+}
+
+func (n *Net) serve(nc net.Conn) error {
+	r := bufio.NewReaderSize(nc, 64<<10)
+	from, err := n.welcome(nc, r)
+	if errors.Is(err, io.EOF) {
+		return nil // it only wanted to know who is here
+	}
+	if err != nil {
+		return err
+	}
+	for {
+		nc.SetReadDeadline(time.Now().Add(idleLimit))
+		if _, err := r.Peek(1); err != nil {
+			return nil // ended while nothing was asked
+		}
+		nc.SetDeadline(time.Now().Add(callLimit))
+		f, err := ReadFrame(r)
+		if err != nil {
+			return fmt.Errorf("from %s: %w", from, err)
+		}
+		if f.Kind == kindChunk { // of a stream that its handler did not read to the end, or one that came twice
+			continue
+		}
+		h := n.handlers[f.Kind]
+		if h == nil {
+			return fmt.Errorf("%w: kind %d from %s", ErrFrame, f.Kind, from)
+		}
+		answer := Frame{Kind: kindDone, Call: f.Call}
+		answer.Body, err = h(from, f.Body, &chunks{r: r, call: f.Call})
+		if err != nil {
+			answer.Kind, answer.Body = kindFail, []byte(err.Error())
+		}
+		if len(answer.Body) > MaxFrame {
+			answer.Kind, answer.Body = kindFail, []byte("the answer is too long")
+		}
+		nc.SetWriteDeadline(time.Now().Add(shakeLimit))
+		if _, err := nc.Write(answer.Append(nil)); err != nil {
+			return fmt.Errorf("to %s: %w", from, err)
+		}
+	}
+}
+
+// chunks reads the pieces of a stream.
+type chunks struct {
+	r    io.Reader
+	call uint64
+	next uint64
+	rest []byte
+	end  error
+}
+
+func (c *chunks) Read(p []byte) (int, error) {
+	for len(c.rest) == 0 {
+		if c.end != nil {
+			return 0, c.end
+		}
+		f, err := ReadFrame(c.r)
+		switch {
+		case err != nil:
+			c.end = err
+		case f.Kind != kindChunk || f.Call != c.call || len(f.Body) < 8 || binary.BigEndian.Uint64(f.Body) > c.next:
+			c.end = fmt.Errorf("%w: a piece of the stream is missing", ErrFrame)
+		case binary.BigEndian.Uint64(f.Body) < c.next: // it came twice
+		case len(f.Body) == 8:
+			c.end = io.EOF
+		default:
+			c.rest = f.Body[8:]
+			c.next++
+		}
+	}
+	n := copy(p, c.rest)
+	c.rest = c.rest[n:]
+	return n, nil
+}
