--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for daily work. CI runs .ci/run, which includes what build, test and lint do.
 
-.PHONY: build test lint run toy fuzz
+.PHONY: build test lint run toy trio fuzz
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -19,6 +19,11 @@
 toy:
 	go run ./example/toy
 
+# Three instances that agree on their shared configuration, with toy stores; see docs/operate/agreed-configuration.md.
+trio: build
+	go build -o bin/ ./example/toy
+	example/trio/start
+
 fuzz:
 	go test ./inifile -run '^$$' -fuzz FuzzRead -fuzztime 20s
 	go test ./document -run '^$$' -fuzz FuzzParse -fuzztime 20s
--- a/agreed/core.go
+++ b/agreed/core.go
@@ -521,8 +521,13 @@
 }
 
 // ask asks for a lease, as often as the settings say: soon enough that several may be lost before the bound passes.
+// Who has none, and so does not serve, asks more often.
 func (c *Core) ask() {
-	if c.lease.Removed || c.now < c.askedAt+c.set.AskEvery {
+	every := c.set.AskEvery
+	if !c.lease.Holds(c.now, c.state.Active().Number) {
+		every /= 8
+	}
+	if c.lease.Removed || c.now < c.askedAt+every {
 		return
 	}
 	maps.DeleteFunc(c.asks, func(_ uint64, at Micros) bool { return at+c.set.Bound <= c.now })
--- a/alderproxy.go
+++ b/alderproxy.go
@@ -104,25 +104,49 @@
 	search   *opensearch.Service
 	gatherer *platform.Gatherer
 	served   <-chan error
+
+	agreement *agreement // nil: the instance stands alone
 }
 
 func (p *program) start() (err error) {
-	if p.config.OpenSearch != nil {
-		var terms *broker.Terms
-		if terms, err = p.config.OpenSearch.Terms(0, p.config.Own); err != nil {
+	var edge *platform.Config
+	if p.config.Gatherer != "" {
+		if edge, err = gathererConfig(p.config.Gatherer); err != nil {
 			return err
 		}
-		if p.search, err = opensearch.Start(p.config.OpenSearch, terms, nil, p.log.WithField("front", "opensearch")); err != nil {
-			return err
+		useLimits(edge)
+	}
+	if p.config.Agreement == nil {
+		var terms *broker.Terms
+		if p.config.OpenSearch != nil {
+			if terms, err = p.config.OpenSearch.Terms(0, p.config.Own); err != nil {
+				return err
+			}
 		}
+		return p.fronts(edge, terms, nil, nil)
 	}
-	if p.config.Gatherer != "" {
-		c, err := gathererConfig(p.config.Gatherer)
-		if err != nil {
+	if err := p.agree(edge); err != nil {
+		return err
+	}
+	a := p.agreement
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	search, own, err := a.first()
+	if err != nil {
+		return err
+	}
+	return p.fronts(edge, search, a.gate, &platform.Agreement{Terms: own, Gate: a.gate})
+}
+
+// fronts starts those that are on.
+func (p *program) fronts(edge *platform.Config, terms *broker.Terms, gate broker.Gate, agreed *platform.Agreement) (err error) {
+	if p.config.OpenSearch != nil {
+		if p.search, err = opensearch.Start(p.config.OpenSearch, terms, gate, p.log.WithField("front", "opensearch")); err != nil {
 			return err
 		}
-		useLimits(c)
-		if p.gatherer, err = platform.Start(c, nil, p.log.WithField("gatherer", c.Name)); err != nil {
+	}
+	if edge != nil {
+		if p.gatherer, err = platform.Start(edge, agreed, p.log.WithField("gatherer", edge.Name)); err != nil {
 			return err
 		}
 		p.served = p.gatherer.Served()
@@ -145,7 +169,11 @@
 	<-done
 }
 
-func (p *program) close() {}
+func (p *program) close() {
+	if p.agreement != nil {
+		p.agreement.close()
+	}
+}
 
 // reload hands a configuration that was read again to the gatherer. One that cannot be used changes nothing.
 func (p *program) reload() {
--- a/config/config.go
+++ b/config/config.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"net"
 	"os"
 	"time"
 
@@ -140,8 +141,16 @@
 
 func (c *Config) agreement(s, in *inifile.Section) {
 	if !s.There() {
+		if c.Admin != "" {
+			in.Fault("admin", "there is nothing to operate without [agreement]")
+		}
 		return
 	}
+	if host, _, err := net.SplitHostPort(c.Admin); err == nil && c.TokenFile == "" {
+		if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+			in.Fault("admin", "%s can be reached from elsewhere: set admin_token_file", c.Admin)
+		}
+	}
 	a := &Agreement{Listen: s.Addr("listen"), Address: s.Addr("address"), KeyFile: s.Text("key_file", ""),
 		StaleAfter: s.Duration("stale_after", 5*time.Second, 200*time.Millisecond, time.Hour),
 		ServeStale: s.Choice("when_stale", "refuse", "refuse", "serve") == "serve",
--- a/group/group.go
+++ b/group/group.go
@@ -43,6 +43,9 @@
 	// version after another, from one goroutine.
 	Check func(text string) error
 	Use   func(agreed.Version) error
+	// At is called before each step that a leader takes with a change ("propose", "check", "decide") and when what was
+	// appended is agreed on ("proposed", "decided"); nil: not. Tests let an instance die there.
+	At func(step string)
 }
 
 // Node is an instance's part in its group.
@@ -65,6 +68,7 @@
 	calls   map[uint64]chan agreed.Outcome
 	grants  map[uint64]chan agreed.GrantTo
 	lastNo  uint64
+	moved   chan struct{} // closed when the state moves on
 	wake    chan struct{}
 	stop    chan struct{}
 	use     chan agreed.Version
@@ -149,7 +153,7 @@
 // Open starts an instance. With an empty folder it waits to be added to a group.
 func Open(c Config) (*Node, error) {
 	n := &Node{Config: c, calls: map[uint64]chan agreed.Outcome{}, grants: map[uint64]chan agreed.GrantTo{},
-		wake: make(chan struct{}, 1), stop: make(chan struct{}), use: make(chan agreed.Version, 1)}
+		moved: make(chan struct{}), wake: make(chan struct{}, 1), stop: make(chan struct{}), use: make(chan agreed.Version, 1)}
 	var err error
 	if n.store, n.id, err = openFolder(c.Folder, c.Name); err != nil {
 		return nil, err
@@ -259,9 +263,12 @@
 	if n.lease.Load().Allows(now(), version) {
 		return true, 0
 	}
-	return false, n.Bound
+	return false, retryAfter
 }
 
+// retryAfter is when clients that were refused for want of agreement may try again: it may be back at any time.
+const retryAfter = time.Second
+
 // tell hands an event to the loop. It never waits.
 func (n *Node) tell(e agreed.Event) {
 	n.mu.Lock()
@@ -279,7 +286,7 @@
 
 // loop owns the core.
 func (n *Node) loop() {
-	every := time.Duration(agreed.Defaults("", n.Bound.Microseconds(), false).AskEvery) * time.Microsecond / 2
+	every := time.Duration(agreed.Defaults("", n.Bound.Microseconds(), false).AskEvery) * time.Microsecond / 8
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	for {
@@ -298,7 +305,13 @@
 			n.carryOut(a)
 		}
 		state := n.core.State()
-		n.state.Store(&state)
+		before := n.state.Swap(&state)
+		if before.Active().Number != state.Active().Number {
+			n.mu.Lock()
+			close(n.moved)
+			n.moved = make(chan struct{})
+			n.mu.Unlock()
+		}
 		if group := state.Group; group != "" && group != *n.group.Load() {
 			n.group.Store(&group)
 			if err := n.store.SetSelf(selfGroup, group); err != nil {
@@ -386,6 +399,7 @@
 	case agreed.Append:
 		go n.append(a)
 	case agreed.Check:
+		n.at("check")
 		go n.check(a, span(set.CheckFor))
 	case agreed.Reply:
 		n.reply(a)
@@ -466,11 +480,25 @@
 	return true
 }
 
+func (n *Node) at(step string) {
+	if n.At != nil {
+		n.At(step)
+	}
+}
+
 func (n *Node) append(a agreed.Append) {
+	before, after := "propose", "proposed"
+	if a.Entry.Decide != nil {
+		before, after = "decide", "decided"
+	}
 	text, err := a.Entry.Encode()
 	if err == nil {
+		n.at(before)
 		err = n.raft.Apply(text, 2*time.Second).Error()
 	}
+	if err == nil && a.Request != "" {
+		n.at(after)
+	}
 	if err != nil && a.Request != "" {
 		n.tell(agreed.Lost{Request: a.Request})
 	}
@@ -549,23 +577,26 @@
 
 // askLease asks the leader, which may be this instance. Without an answer it asks again with the next one.
 func (n *Node) askLease(seq uint64, within time.Duration) {
+	if g, err := n.askOnce(within); err == nil {
+		n.tell(agreed.Granted{Seq: seq, OK: g.OK, Version: g.Version, Removed: g.Removed})
+	}
+}
+
+func (n *Node) askOnce(within time.Duration) (g agreed.GrantTo, err error) {
 	addr, id := n.raft.LeaderWithID()
 	var body []byte
-	var err error
 	switch id {
 	case "":
-		if body, err = n.askAround(within); err != nil {
-			return
-		}
+		body, err = n.askAround(within)
 	case n.id:
 		body, err = n.leaseCalled(string(n.id), nil, nil)
 	default:
 		body, err = n.net.Call(peer.Target{ID: string(id), Addr: string(addr)}, callLease, nil, nil, within)
 	}
-	var g agreed.GrantTo
-	if err == nil && json.Unmarshal(body, &g) == nil {
-		n.tell(agreed.Granted{Seq: seq, OK: g.OK, Version: g.Version, Removed: g.Removed})
+	if err == nil {
+		err = json.Unmarshal(body, &g)
 	}
+	return g, err
 }
 
 // askAround asks all whom this instance knows: one that was removed hears of no leader any more.
--- a/group/group_test.go
+++ b/group/group_test.go
@@ -22,8 +22,6 @@
 	bound   time.Duration
 	nodes   map[string]*Node
 	configs map[string]Config
-	fronts  map[string]net.Listener
-	behind  map[string]string
 }
 
 func newRig(t *testing.T, bound time.Duration) *rig {
@@ -46,7 +44,7 @@
 // config makes an instance that does not run yet. Text with "bad" in it is one that it cannot serve by.
 func (r *rig) config(name string) Config {
 	front, own := listen(r.t), listen(r.t)
-	r.faults.Front(name, front, own.Addr().String())
+	r.faults.Front(name, front).Behind(own.Addr().String())
 	c := Config{Name: name, Folder: r.t.TempDir(), Listener: own, Address: front.Addr().String(), Key: []byte("k"), Bound: r.bound,
 		Speed: 5, Log: standin.Log(), Use: func(agreed.Version) error { return nil },
 		Check: func(text string) error {
--- a/group/operate.go
+++ b/group/operate.go
@@ -205,3 +205,53 @@
 
 // Used is the version that this instance serves by; 0: none.
 func (n *Node) Used() uint64 { return n.used.Load() }
+
+// Read is the state as a majority confirms it: everything that was agreed on before the call is in it.
+func (n *Node) Read(within time.Duration) (agreed.State, error) {
+	until := time.Now().Add(within)
+	err := errors.New("nobody leads, or no majority is reachable")
+	for time.Now().Before(until) {
+		changed := n.changed()
+		g, failed := n.askOnce(min(time.Until(until), changeTry))
+		if failed == nil && g.Removed {
+			return agreed.State{}, errors.New("this instance was removed from its group")
+		}
+		for failed == nil && g.OK { // the verified version may be on its way here
+			if s := n.State(); s.Active().Number >= g.Version {
+				return s, nil
+			}
+			select {
+			case <-changed:
+				changed = n.changed()
+			case <-time.After(time.Until(until)):
+				return agreed.State{}, errors.New("this instance lags behind")
+			}
+		}
+		select {
+		case <-time.After(forwardPause / 2):
+		case <-n.stop:
+			return agreed.State{}, errClosed
+		}
+	}
+	return agreed.State{}, err
+}
+
+// changed closes when the state is another one than now.
+func (n *Node) changed() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.moved
+}
+
+// HandOverIfLeading gives the lead away before a planned stop, so that nobody waits for an election.
+func (n *Node) HandOverIfLeading(within time.Duration) {
+	if n.raft.State() != raft.Leader || len(n.Roster()) < 2 {
+		return
+	}
+	done := make(chan struct{})
+	go func() { n.handOver(""); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(within):
+	}
+}
--- a/internal/faultnet/faultnet.go
+++ b/internal/faultnet/faultnet.go
@@ -91,20 +91,36 @@
 	return 1, delay
 }
 
-// Front stands before an instance: what comes in at l goes to behind, by the rules.
-func (n *Network) Front(name string, l net.Listener, behind string) {
+// Front stands before an instance.
+type Front struct {
+	net    *Network
+	name   string
+	l      net.Listener
+	behind atomic.Pointer[string]
+}
+
+// Front begins to stand before an instance: what comes in at l goes to it, by the rules, once Behind was told.
+func (n *Network) Front(name string, l net.Listener) *Front {
+	f := &Front{net: n, name: name, l: l}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go n.pass(name, c, behind)
+			go n.pass(f, c)
 		}
 	}()
+	return f
 }
 
-func (n *Network) pass(name string, in net.Conn, behind string) {
+// Addr is the address by which the others know the instance.
+func (f *Front) Addr() string { return f.l.Addr().String() }
+
+// Behind tells where the instance is, now.
+func (f *Front) Behind(addr string) { f.behind.Store(&addr) }
+
+func (n *Network) pass(front *Front, in net.Conn) {
 	defer in.Close()
 	r := bufio.NewReader(in)
 	first, err := peer.ReadFrame(r) // the greeting tells who dials
@@ -116,7 +132,11 @@
 		return
 	}
 	from, _, _ := strings.Cut(h.From, ".")
-	out, err := net.DialTimeout("tcp", behind, 2*time.Second)
+	name, behind := front.name, front.behind.Load()
+	if behind == nil {
+		return
+	}
+	out, err := net.DialTimeout("tcp", *behind, 2*time.Second)
 	if err != nil {
 		return
 	}
--- a/opensearch/front.go
+++ b/opensearch/front.go
@@ -51,6 +51,11 @@
 
 func (f *failure) body() []byte { return appendError(nil, f.status, f.kind, f.err.Error()) }
 
+// closed is the refusal of an instance that cannot tell that its configuration is the agreed one.
+func closed(comeBack time.Duration) *failure {
+	return &failure{503, "cluster_block_exception", errors.New("this instance cannot tell that its configuration is the agreed one"), comeBack}
+}
+
 func illegal(err error) *failure { return &failure{400, "illegal_argument_exception", err, 0} }
 
 func (f *failure) reply() *httpwire.Reply {
@@ -155,6 +160,10 @@
 // item makes a query of a search, or says what is wrong with it.
 func (f *front) item(x *httpwire.Exchange, t *broker.Terms, name string, body []byte, params map[string]string) *item {
 	it := &item{}
+	if f.agreed && t.Version == 0 { // nothing is agreed on yet: nobody can tell what exists
+		it.bad = closed(time.Second)
+		return it
+	}
 	ix := t.Front.(indices)[name]
 	if len(ix.slices) == 0 {
 		it.bad = &failure{404, "index_not_found_exception", fmt.Errorf("no such index [%s]", name), 0}
@@ -236,7 +245,7 @@
 		}
 		return body, nil
 	case a.Closed:
-		return nil, &failure{503, "cluster_block_exception", errors.New("this instance can not tell that its configuration is still the agreed one"), a.ComeBack}
+		return nil, closed(a.ComeBack)
 	case a.Late:
 		return nil, &failure{504, "timeout_exception", errors.New("the query's time was up before all parts were in"), a.ComeBack}
 	case a.Lost:
