--- a/inifile/inifile.go
+++ b/inifile/inifile.go
@@ -288,58 +288,43 @@
 	return v
 }
 
-// Duration is a span such as 250ms or 2s between two bounds; absent: def.
-func (s *Section) Duration(name string, def, least, most time.Duration) time.Duration {
+// ranged is a key's value between two bounds; absent: def.
+func ranged[T cmp.Ordered](s *Section, name string, def, least, most T, what string, parse func(string) (T, error)) T {
 	v, ok := s.take(name)
 	if !ok {
 		return def
 	}
-	d, err := time.ParseDuration(v)
+	x, err := parse(v)
 	if err != nil {
-		s.Fault(name, "%q is no time such as 250ms or 2s", v)
+		s.Fault(name, "%q is no %s", v, what)
 		return def
 	}
-	if d < least || d > most {
-		s.Fault(name, "%v is not between %v and %v", d, least, most)
+	if x < least || x > most {
+		s.Fault(name, "%v is not between %v and %v", x, least, most)
 		return def
 	}
-	return d
+	return x
+}
+
+// Duration is a span such as 250ms or 2s between two bounds; absent: def.
+func (s *Section) Duration(name string, def, least, most time.Duration) time.Duration {
+	return ranged(s, name, def, least, most, "time such as 250ms or 2s", time.ParseDuration)
 }
 
 // Int is a whole number between two bounds; absent: def.
 func (s *Section) Int(name string, def, least, most int) int {
-	v, ok := s.take(name)
-	if !ok {
-		return def
-	}
-	n, err := strconv.Atoi(v)
-	if err != nil {
-		s.Fault(name, "%q is no whole number", v)
-		return def
-	}
-	if n < least || n > most {
-		s.Fault(name, "%d is not between %d and %d", n, least, most)
-		return def
-	}
-	return n
+	return ranged(s, name, def, least, most, "whole number", strconv.Atoi)
 }
 
 // Float is a number between two bounds; absent: def.
 func (s *Section) Float(name string, def, least, most float64) float64 {
-	v, ok := s.take(name)
-	if !ok {
-		return def
-	}
-	x, err := strconv.ParseFloat(v, 64)
-	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
-		s.Fault(name, "%q is no number", v)
-		return def
-	}
-	if x < least || x > most {
-		s.Fault(name, "%v is not between %v and %v", x, least, most)
-		return def
-	}
-	return x
+	return ranged(s, name, def, least, most, "number", func(v string) (float64, error) {
+		x, err := strconv.ParseFloat(v, 64)
+		if err == nil && (math.IsNaN(x) || math.IsInf(x, 0)) {
+			err = strconv.ErrRange
+		}
+		return x, err
+	})
 }
 
 // Bool is yes or no; absent: def.
