--- a/policy/policy.go
+++ b/policy/policy.go
@@ -104,7 +104,7 @@
 	full, suspect    bool     // an attempt was turned away; sends one part ahead, it may fell what takes it
 }
 
-// class is the terms that a query was taken by, and what its class has learned: that stays when the terms change.
+// class is the terms that a query was taken by, and what its class has learned, which outlives the terms.
 type class struct {
 	Class
 	*lore
@@ -151,14 +151,14 @@
 	if err := set.Check(); err != nil {
 		return nil, err
 	}
-	a := &Aggregator{servers: map[uint32]*server{}, queries: map[uint64]*query{}, numbers: map[uint64]*query{},
-		parts: map[uint64]*part{}, bears: 1, util: 1, cured: 0.5, idleMost: math.MaxInt64}
+	a := &Aggregator{servers: map[uint32]*server{}, queries: map[uint64]*query{},
+		numbers: map[uint64]*query{}, parts: map[uint64]*part{}, bears: 1, util: 1, cured: 0.5, idleMost: math.MaxInt64}
 	a.use(set)
 	return a, nil
 }
 
-// use takes settings. Open queries keep their classes' terms. What was learned of servers and, by name, of classes
-// stays, and so does what is out: a change sends no burst to cold servers and forgets no attempt.
+// use takes settings. Open queries keep their classes' terms. What was learned of servers and, by name, of
+// classes stays, and so does what is out: a change sends no burst to cold servers and forgets no attempt.
 func (a *Aggregator) use(set Settings) {
 	known := map[string]*lore{}
 	for _, c := range a.classes {
