--- a/policy/policy.go
+++ b/policy/policy.go
@@ -152,7 +152,8 @@
 		return nil, err
 	}
 	a := &Aggregator{servers: map[uint32]*server{}, queries: map[uint64]*query{},
-		numbers: map[uint64]*query{}, parts: map[uint64]*part{}, bears: 1, util: 1, cured: 0.5, idleMost: math.MaxInt64}
+		numbers: map[uint64]*query{}, parts: map[uint64]*part{},
+		bears: 1, util: 1, cured: 0.5, idleMost: math.MaxInt64}
 	a.use(set)
 	return a, nil
 }
