Show in real processes that a document one front cannot serve by is active nowhere

The check against what an instance really runs was shown with a stand-in only. Four documents (a slice that no store holds, a class that the platform runs with another effect, an index beyond the layout, no class) are now put to three real processes and refused with the reason, and version 6 goes on.

--- a/agreement_test.go
+++ b/agreement_test.go
@@ -347,6 +347,21 @@
 		assert.Equal(t, map[agreed.Status]int{agreed.Done: 1, agreed.Conflict: 2}, count)
 	}
 	r.serving(6, "n1", "n2", "n3")
+	for what, text := range map[string]string{ // what a front here could not serve by is active nowhere
+		"index catalogue: no store here holds slice 1":             strings.Replace(fmt.Sprintf(sharedText, 1), "slices = 2", "slices = 2\ncells = 2", 1),
+		"the platform's front runs this class with another effect": "[class lookup]\naim = 1s\ngive_up = 2s\neffect = keyed\nwindow = 3s\n",
+		"index catalogue.slices: 1 is not below 1":                 strings.Replace(fmt.Sprintf(sharedText, 1), "slices = 2", "slices = 1", 1),
+		"settings: Classes is empty":                               "[layout]\nslices = 2\n",
+	} {
+		o, err := r.instances["n3"].client().Put(admin.Put{Request: what, Expect: 6, Text: text, Author: "test"})
+		if err == nil {
+			assert.Equal(t, agreed.Refused, o.Status)
+			assert.NotEmpty(t, o.Instance)
+			err = errors.New(o.Why)
+		}
+		assert.ErrorContains(t, err, what)
+	}
+	r.serving(6, "n1", "n2", "n3")
 }
 
 // Changes while queries run on both fronts, and the leader is killed during one: each query has one final answer,
