--- a/group/group_test.go
+++ b/group/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 // rig is a group whose instances reach each other over a faulty network only.
 type rig struct {
 	t       *testing.T
+	dir     string
 	faults  *faultnet.Network
 	bound   time.Duration
 	nodes   map[string]*Node
@@ -25,7 +27,8 @@
 }
 
 func newRig(t *testing.T, bound time.Duration) *rig {
-	r := &rig{t: t, faults: faultnet.New(1), bound: bound, nodes: map[string]*Node{}, configs: map[string]Config{}}
+	// The folder comes first: what is cleaned up last must be removed after the instances have ended.
+	r := &rig{t: t, dir: t.TempDir(), faults: faultnet.New(1), bound: bound, nodes: map[string]*Node{}, configs: map[string]Config{}}
 	t.Cleanup(func() {
 		for _, n := range r.nodes {
 			n.Close()
@@ -45,7 +48,7 @@
 func (r *rig) config(name string) Config {
 	front, own := listen(r.t), listen(r.t)
 	r.faults.Front(name, front).Behind(own.Addr().String())
-	c := Config{Name: name, Folder: r.t.TempDir(), Listener: own, Address: front.Addr().String(), Key: []byte("k"), Bound: r.bound,
+	c := Config{Name: name, Folder: filepath.Join(r.dir, name), Listener: own, Address: front.Addr().String(), Key: []byte("k"), Bound: r.bound,
 		Speed: 5, SnapshotAfter: 8, Log: standin.Log(), Use: func(agreed.Version) error { return nil },
 		Check: func(text string) error {
 			if strings.Contains(text, "bad for "+name) {
@@ -184,7 +187,7 @@
 	// Its folder is lost: under the old name it must not come in, and must not vote.
 	c := r.configs[gone]
 	require.NoError(t, r.nodes[gone].Close())
-	c.Folder = t.TempDir()
+	c.Folder = filepath.Join(r.dir, "another")
 	c.Listener, _ = net.Listen("tcp", c.Listener.Addr().String())
 	n := r.open(c)
 	o := lead.Do(Order{Add: &agreed.Member{Name: gone, Addr: c.Address}}, 5*time.Second)
