Wait for the loop's answers in one place and drop what could be derived

Reading the change once more found the same wait for an answer written twice in group/, a field that nothing read, and a flag that the text beside it tells already.

--- a/config/config.go
+++ b/config/config.go
@@ -27,8 +27,7 @@
 	Log        Log
 	Agreement  *Agreement         // nil: the instance stands alone
 	Own        *document.Document // the file's shared sections
-	Shared     string             // their text
-	HasShared  bool
+	Shared     string             // their text; empty: it has none
 }
 
 // Log says how an instance logs.
@@ -94,11 +93,10 @@
 	c.agreement(f.Only("agreement"), in)
 	c.Own = document.Read(f)
 	c.Shared = document.Shared(f)
-	c.HasShared = c.Shared != ""
 	if err := f.Err(); err != nil {
 		return nil, err
 	}
-	if c.OpenSearch != nil && c.HasShared { // what this instance could not serve is told at once, and not at its start
+	if c.OpenSearch != nil && c.Shared != "" { // what this instance could not serve is told at once, and not at its start
 		if _, err := c.OpenSearch.Terms(0, c.Own); err != nil {
 			f.Only("opensearch").Fault("", "%v", err)
 		}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -44,12 +44,12 @@
 	require.Len(t, c.OpenSearch.Stores, 2)
 	assert.Equal(t, 1, c.OpenSearch.Stores[1].Cell)
 	assert.Len(t, c.Own.Indices, 1)
-	assert.True(t, c.HasShared)
+	assert.NotEmpty(t, c.Shared)
 	alone, err := Parse("f", "[log]\n")
 	require.NoError(t, err)
 	assert.Nil(t, alone.OpenSearch)
 	assert.Nil(t, alone.Agreement)
-	assert.False(t, alone.HasShared)
+	assert.Empty(t, alone.Shared)
 }
 
 func TestFaults(t *testing.T) {
--- a/group/group.go
+++ b/group/group.go
@@ -201,7 +201,7 @@
 		}
 		n.serve(v)
 	}
-	t := &transport{id: n.id, addr: raft.ServerAddress(n.Address), calls: make(chan raft.RPC)}
+	t := &transport{addr: raft.ServerAddress(n.Address), calls: make(chan raft.RPC)}
 	handlers := t.handlers(n.stop)
 	handlers[callLease], handlers[callCheck], handlers[callForward], handlers[callApplied] = n.leaseCalled, n.checkCalled, n.forwarded, n.appliedCalled
 	ready := make(chan struct{})
@@ -625,22 +625,9 @@
 	if err != nil {
 		return nil, err
 	}
-	answer := make(chan agreed.GrantTo, 1)
-	n.mu.Lock()
-	n.lastNo++
-	call := n.lastNo
-	n.grants[call] = answer
-	n.mu.Unlock()
-	n.tell(agreed.LeaseAsked{Call: call, Folder: folder})
-	select {
-	case g := <-answer:
-		return json.Marshal(g)
-	case <-time.After(2 * time.Second):
-		n.mu.Lock()
-		delete(n.grants, call)
-		n.mu.Unlock()
+	g, ok := answered(n, n.grants, 2*time.Second, func(call uint64) agreed.Event { return agreed.LeaseAsked{Call: call, Folder: folder} })
+	if !ok {
 		return nil, errors.New("not verified in time")
-	case <-n.stop:
-		return nil, errClosed
 	}
+	return json.Marshal(g)
 }
--- a/group/operate.go
+++ b/group/operate.go
@@ -107,23 +107,31 @@
 }
 
 func (n *Node) wait(within time.Duration, event func(call uint64) agreed.Event) agreed.Outcome {
-	answer := make(chan agreed.Outcome, 1)
+	if o, ok := answered(n, n.calls, within, event); ok {
+		return o
+	}
+	return agreed.Outcome{Why: "not decided in time"}
+}
+
+// answered hands the loop an event that is a call, and waits for its answer.
+func answered[T any](n *Node, open map[uint64]chan T, within time.Duration, event func(call uint64) agreed.Event) (answer T, ok bool) {
+	to := make(chan T, 1)
 	n.mu.Lock()
 	n.lastNo++
 	call := n.lastNo
-	n.calls[call] = answer
+	open[call] = to
 	n.mu.Unlock()
 	n.tell(event(call))
 	select {
-	case o := <-answer:
-		return o
+	case answer = <-to:
+		return answer, true
 	case <-time.After(within):
 	case <-n.stop:
 	}
 	n.mu.Lock()
-	delete(n.calls, call)
+	delete(open, call)
 	n.mu.Unlock()
-	return agreed.Outcome{Why: "not decided in time"}
+	return answer, false
 }
 
 func (n *Node) reply(r agreed.Reply) {
--- a/group/recover.go
+++ b/group/recover.go
@@ -129,7 +129,7 @@
 	conf := raft.DefaultConfig()
 	conf.LocalID, conf.Logger = n.id, hclog.NewNullLogger()
 	only := raft.Configuration{Servers: []raft.Server{{ID: n.id, Address: raft.ServerAddress(address)}}}
-	t := &transport{id: n.id, addr: raft.ServerAddress(address), calls: make(chan raft.RPC)}
+	t := &transport{addr: raft.ServerAddress(address), calls: make(chan raft.RPC)}
 	if err := raft.RecoverCluster(conf, m, n.store, n.store, snaps, t, only); err != nil {
 		return fmt.Errorf("folder %s: %w", folder, err)
 	}
--- a/group/transport.go
+++ b/group/transport.go
@@ -36,7 +36,6 @@
 // transport carries Raft's calls over a peer.Net. It is a raft.Transport.
 type transport struct {
 	net   *peer.Net
-	id    raft.ServerID
 	addr  raft.ServerAddress
 	calls chan raft.RPC
 
@@ -166,7 +165,7 @@
 	}
 }
 
-// idOf and memberOf are between a member and its id: its name, a dot and its folder.
+// idOf and splitID are between a member and its id: its name, a dot and its folder.
 func idOf(name, folder string) raft.ServerID { return raft.ServerID(name + "." + folder) }
 
 func splitID(id string) (name, folder string, err error) {
