Count the queue that stores report as load where they report no number in hand

Cause: policy.load takes a report only if it has the number in hand. This site's stores report rate and queue, so the report was passed over; with 3 gatherers own attempts were a third of the load and hid it.

Without the change the test's busy server gets as many parts as its peers.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -459,12 +459,12 @@
 
 // load is what a server is held to have in hand: own attempts, or its report where that says more.
 func (a *Aggregator) load(s *server) float64 {
-	own := float64(len(s.out))
-	if s.told.Inflight < 0 {
+	own, told := float64(len(s.out)), max(s.told.Inflight, s.told.Queue)
+	if told < 0 {
 		return own
 	}
 	fresh := max(0, 1-float64(a.now-s.toldAt)/(reportAims*a.beat))
-	return max(own, fresh*(s.told.Inflight+own-float64(s.ownThen))+(1-fresh)*own)
+	return max(own, fresh*(told+own-float64(s.ownThen))+(1-fresh)*own)
 }
 
 // slowness is a server's latency against its peers, and a charge for what fails there.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1007,3 +1007,30 @@
 		t.Errorf("8 aggregators call again at %d different times", len(first))
 	}
 }
+
+// Servers that report what waits, and not what is in hand, report a load all the same. Among many aggregators it is
+// the only word of it: own attempts say nothing.
+func TestWaitingPartsCountAsLoad(t *testing.T) {
+	h := newHand(t, handSettings())
+	h.teach(0, 30, 100_000)
+	busy := NoReport
+	busy.Queue, busy.Rate = 12, 40
+	for _, s := range h.a.order {
+		h.a.hear(s, NoReport)
+	}
+	h.a.hear(h.a.order[0], busy)
+	h.log = nil
+	for range 12 {
+		_, events := h.query(0, 1)
+		for _, s := range pick[Send](h.step(0, events...)) {
+			h.step(0, Outcome{Part: s.Part, Server: s.Server, Status: OK, Report: NoReport})
+		}
+	}
+	got := map[uint32]int{}
+	for _, s := range pick[Send](h.log) {
+		got[s.Server]++
+	}
+	if id := h.a.order[0].ID; 3*got[id] > got[h.a.order[1].ID] {
+		t.Errorf("parts %v, want few at server %d, where twelve wait", got, id)
+	}
+}
