--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -281,6 +281,7 @@
 	version int
 	answer  string
 	changed chan struct{}
+	refuse  int
 }
 
 // NewDiscovery starts discovery with a full list of entries.
@@ -312,6 +313,21 @@
 	d.changed = make(chan struct{})
 }
 
+// Refuse has so many further calls answered 503: discovery has more than it can take.
+func (d *Discovery) Refuse(calls int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refuse = calls
+}
+
+// refused counts a call as one of those to refuse.
+func (d *Discovery) refused() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refuse--
+	return d.refuse >= 0
+}
+
 func (d *Discovery) serve(c net.Conn) {
 	defer c.Close()
 	for r := bufio.NewReader(c); ; {
@@ -320,6 +336,10 @@
 			return
 		}
 		d.Targets <- req.Target
+		if d.refused() {
+			c.Write(httpwire.AppendResponse(nil, 503, nil, nil, false))
+			continue
+		}
 		for {
 			d.mu.Lock()
 			answer, changed, stale := d.answer, d.changed, strings.Contains(req.Target, "from="+strconv.Itoa(d.version)+"&")
