--- a/policy/policy.go
+++ b/policy/policy.go
@@ -773,9 +773,9 @@
 	}
 }
 
-// judge takes an answer, or lateness, as evidence on connections. If new ones mostly bring answers where idle
-// ones were silent, idle connections are dropped unseen. A false verdict costs a handshake a part, from each of
-// a fleet that meets its servers seldom: an answer on an idle connection, however late, clears those idle less.
+// judge takes an answer, or lateness, as evidence on connections. If new ones mostly bring answers where
+// idle ones were silent, idle connections are dropped unseen. A false verdict costs a handshake a part, from
+// each of a fleet that meets its servers seldom: an answer on an idle one clears those that were idle less.
 func (a *Aggregator) judge(t *attempt, status Status) {
 	if status == OK && !t.cure {
 		if t.srv.doubt = false; t.idle >= a.idleMost {
