--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -281,7 +281,7 @@
 	version int
 	answer  string
 	changed chan struct{}
-	refuse  int
+	refuse  int // status of the next call's answer; 0: the list
 }
 
 // NewDiscovery starts discovery with a full list of entries.
@@ -313,19 +313,19 @@
 	d.changed = make(chan struct{})
 }
 
-// Refuse has so many further calls answered 503: discovery has more than it can take.
-func (d *Discovery) Refuse(calls int) {
+// Refuse has the next call answered with a status and no list; 0: with the list.
+func (d *Discovery) Refuse(status int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.refuse = calls
+	d.refuse = status
 }
 
-// refused counts a call as one of those to refuse.
-func (d *Discovery) refused() bool {
+// refusal is the status that Refuse set for this call.
+func (d *Discovery) refusal() (status int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.refuse--
-	return d.refuse >= 0
+	status, d.refuse = d.refuse, 0
+	return status
 }
 
 func (d *Discovery) serve(c net.Conn) {
@@ -336,8 +336,8 @@
 			return
 		}
 		d.Targets <- req.Target
-		if d.refused() {
-			c.Write(httpwire.AppendResponse(nil, 503, nil, nil, false))
+		if status := d.refusal(); status != 0 {
+			c.Write(httpwire.AppendResponse(nil, status, nil, nil, false))
 			continue
 		}
 		for {
