Send no second copies while stores report waiting parts all over the fleet

Counted over its 303 gatherers, second by second: at 9 s 10,046 attempts, of which 2,969 end as cancelled copies and 778 are turned away, and attempts take 193 ms against 66 at first and 43 after the burst ("act_policy.Cancel 163 212 188 80 416 ... 2970 1885"). Cancelled work runs on, so copies were up to three tenths of the load. The lines at fault are policy.go's move and isLate: near its aim each query copies its last parts, whatever the fleet is doing.

Change: the module keeps the smoothed share of load reports that tell of waiting parts, and beyond a tenth nothing is copied or moved.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,6 +27,7 @@
 	windowOwn   = 2.0   // ... this many at least: one long part says nothing of a jam
 	lateAt      = 3.0   // multiple of the predicted latency at which an attempt is late
 	mostIn      = 0.6   // of what a query needs: then the rest are stragglers, not victims of overload
+	mostWait    = 0.1   // share of answers telling of waiting parts up to which spare work finds room
 	spareAt     = 2.0   // the same for a spare part, which costs no budget; times more for a move in place
 	coldTurns   = 64    // turns within the rule's span that begin at a cold server
 	probeSpend  = 0.015 // of a part's worth that may go into probes
@@ -135,6 +136,7 @@
 	refAll, work, n  float64   // mean latency at no load over n answers; the lowest yet, for the work
 	bears            float64   // work that a warm server bears, in seconds a second
 	probes, util     float64   // that may be spent; mean share of their cores that servers report as busy
+	queued           float64   // smoothed share of load reports that tell of waiting parts
 	waiting          []float64 // parts of each shard that found no room in the last turn
 	wakeAt, logged   Micros
 	cured            float64 // share of the servers silent on an idle connection that answered on a new one
@@ -856,6 +858,9 @@
 		return
 	}
 	s.told, s.toldAt, s.ownThen = r, a.now, len(s.out)
+	if r.Queue >= 0 {
+		a.queued += gainRef * (min(r.Queue, 1) - a.queued)
+	}
 	if r.Rate > 0 && a.now > s.Started+a.set.ColdFor {
 		s.bears += gainDown * (r.Rate*a.refAll/1e6 - s.bears)
 		a.bears = max(a.bears, s.bears)
@@ -979,10 +984,13 @@
 }
 
 // move asks a better replica, if any, for a late part: as a second copy if permitted, else in its place.
+// Where parts wait all over the fleet, all are late and a copy makes others wait: many aggregators that each
+// save their own queries jam the servers for all.
 func (a *Aggregator) move(p *part) {
 	t := p.live[len(p.live)-1]
 	a.judge(t, TimedOut)
-	if p.q.cls.Effect != Safe || a.set.MaxAttempts > 0 && p.tries >= a.set.MaxAttempts || !a.budgetLeft() {
+	spent := a.set.MaxAttempts > 0 && p.tries >= a.set.MaxAttempts || !a.budgetLeft()
+	if p.q.cls.Effect != Safe || spent || a.queued > mostWait {
 		return
 	}
 	for _, c := range a.rank(p) {
