Let the platform's stand-in stores report no waiting parts where they hold none

Cause: TestFaults/silent/both=false failed since copies end where stores report waiting parts: the stand-in named a queue of 3 in each answer whatever it held. Change: answers of the stand-in say queue=0; its probes keep 3, which TestProbe reads.

--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -206,7 +206,7 @@
 					if hold != nil {
 						<-hold
 					}
-					send('5', words[0]+" S 1840277719 qps=12.5,queue=3\nv"+words[1])
+					send('5', words[0]+" S 1840277719 qps=12.5,queue=0\nv"+words[1])
 				}()
 			}
 		}
