--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 
 # Long measurements, outside CI; figures and their machine stand in docs/measurements.
 measure:
-	go test -tags measure -count=1 -v -timeout 60m -run '^TestMeasure' . ./group | grep -v '=== \|--- PASS'
+	go test -tags measure -count=1 -v -timeout 60m -run '^TestMeasure' . ./group ./membership | grep -v '=== \|--- PASS'
 
 fuzz:
 	go test ./membership -run '^$$' -fuzz FuzzRead -fuzztime 20s
--- /dev/null
+++ b/membership/measure_test.go
@@ -0,0 +1,155 @@
+//go:build measure
+
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"alderproxy/internal/simnet"
+)
+
+// knows tells by how many of the living a member is held to be gone.
+func (w *town) knows(of int) (n, all int) {
+	for _, c := range w.nodes {
+		if !w.net.Alive(simnet.Party(c.i)) {
+			continue
+		}
+		all++
+		if slices.ContainsFunc(c.view.Members, func(m Member) bool { return m.Name == name(of) && m.Standing > Suspect }) {
+			n++
+		}
+	}
+	return n, all
+}
+
+func middle(xs []float64) (median, most float64) {
+	slices.Sort(xs)
+	return xs[len(xs)/2], xs[len(xs)-1]
+}
+
+// From a death until one, half and all know it, what a member sends, and until a fact is everywhere.
+func TestMeasureDetectionAndCost(t *testing.T) {
+	for _, c := range []struct{ n, deaths int }{{10, 9}, {100, 9}, {300, 5}, {1000, 3}} {
+		var one, half, all, facts []float64
+		var rate, bytes float64
+		for seed := range c.deaths {
+			w := found(t, uint64(seed+1), c.n, lan)
+			w.until(0, c.n, 300*second)
+			w.run(30 * second)
+			sent, size := w.sent, w.bytes
+			w.run(10 * second)
+			rate += float64(w.sent-sent) / 10 / float64(c.n) / float64(c.deaths)
+			bytes += float64(w.bytes-size) / 10 / float64(c.n) / float64(c.deaths)
+			w.nodes[1].turn(Publish{"list", "v", 600 * second})
+			began := w.net.Now()
+			for {
+				n := 0
+				for _, o := range w.nodes {
+					if m := o.members[w.nodes[1].self.ID]; m != nil && len(m.facts) > 0 {
+						n++
+					}
+				}
+				if n == c.n || w.net.Now()-began > 60*second {
+					break
+				}
+				w.run(second / 10)
+			}
+			facts = append(facts, float64(w.net.Now()-began)/second)
+			victim := 2 + w.net.Rand().IntN(c.n-2)
+			w.kill(victim)
+			began = w.net.Now()
+			first, mid := 0.0, 0.0
+			for {
+				n, living := w.knows(victim)
+				at := float64(w.net.Now()-began) / second
+				if n > 0 && first == 0 {
+					first = at
+				}
+				if 2*n >= living && mid == 0 {
+					mid = at
+				}
+				if n == living || at > 120 {
+					one, half, all = append(one, first), append(half, mid), append(all, at)
+					break
+				}
+				w.run(second / 10)
+			}
+			assert.Zero(t, w.wrong())
+		}
+		o, _ := middle(one)
+		h, _ := middle(half)
+		a, most := middle(all)
+		f, late := middle(facts)
+		t.Logf("%4d members, %d deaths: known to one after %.1f s, half %.1f, all %.1f (most %.1f); a fact is everywhere after %.1f (most %.1f); %.1f datagrams and %.0f bytes a member and second",
+			c.n, c.deaths, o, h, a, most, f, late, rate, bytes)
+	}
+}
+
+// Members that live and are taken out of a view, by member and hour of play.
+func TestMeasureFalseAccusations(t *testing.T) {
+	for _, loss := range []float64{0, 0.1, 0.3} {
+		const n, minutes = 50, 60
+		falls, hours := 0, 0.0
+		for seed := range uint64(4) {
+			w := found(t, seed+1, n, simnet.Link{Least: 300, Most: 5000, Loss: loss})
+			w.until(0, n, 120*second)
+			for i := range n { // each stands still once a minute, for up to 5 s
+				for k := range minutes {
+					at := Micros(60*k)*second + w.net.Rand().Int64N(55*second)
+					span := w.net.Rand().Int64N(5 * second)
+					w.net.After(-1, at, func() { w.net.Pause(simnet.Party(i), span) })
+				}
+			}
+			w.run(minutes * 60 * second)
+			falls += w.wrong()
+			hours += n * float64(minutes) / 60
+		}
+		t.Logf("loss %.0f %%, pauses up to 5 s each minute: %d false accusations reached a view in %.0f member-hours", 100*loss, falls, hours)
+	}
+}
+
+// Random faults: afterwards every death is known, nobody who is connected stays out, and views are equal.
+func TestMeasureRandomFaults(t *testing.T) {
+	var settled []float64
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		n := 3 + rng.IntN(28)
+		w := found(t, seed+1, n, simnet.Link{Least: 300, Most: Micros(5000 + rng.IntN(200_000)), Loss: 0.2 * rng.Float64(), Repeat: 0.2 * rng.Float64()})
+		w.until(0, n, 120*second)
+		for range 3 + rng.IntN(6) {
+			at, i, j := Micros(rng.IntN(60))*second, rng.IntN(n), rng.IntN(n)
+			span := Micros(1+rng.IntN(30)) * second
+			w.net.After(-1, at, func() {
+				a, b := parties(i, i+1), parties(j, n)
+				switch rng.IntN(4) {
+				case 0:
+					w.net.Pause(simnet.Party(i), span)
+				case 1:
+					w.net.Cut(a, b)
+					w.net.After(-1, span, func() { w.net.Heal(a, b) })
+				case 2:
+					w.net.Cut(b, a)
+					w.net.After(-1, span, func() { w.net.Heal(b, a) })
+				case 3:
+					if i > 0 && w.net.Alive(simnet.Party(i)) {
+						w.kill(i)
+						w.net.After(-1, span, func() { w.revive(i) })
+					}
+				}
+			})
+		}
+		w.run(95 * second)
+		began := w.net.Now()
+		w.until(0, n, 120*second)
+		settled = append(settled, float64(w.net.Now()-began)/second)
+		if t.Failed() {
+			t.Fatalf("seed %d, %d members", seed, n)
+		}
+	}
+	m, most := middle(settled)
+	t.Logf("200 runs of random faults: views equal %.1f s after the last one (median), %.1f s at most", m, most)
+}
