Learn a class's stretch over seven queries, so that single ones close no admission

The line at fault: answer() moves the stretch by 0.4 with each query, so two late ones had the class refused until others were let in.

Change: the gain is that of good news, 0.15, seven answers to believe.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1041,7 +1041,7 @@
 func (a *Aggregator) answer(q *query, whole bool) {
 	a.do(Answer{Query: q.ID, Whole: whole && (q.step == 1 || q.whole)})
 	if q.step == 1 {
-		q.cls.stretch += gainUp * (float64(a.now-q.began)/max(q.wait, 1) - q.cls.stretch)
+		q.cls.stretch += gainDown * (float64(a.now-q.began)/max(q.wait, 1) - q.cls.stretch)
 	}
 	if q.step == 2 || q.cls.FetchParts == 0 {
 		a.close(q)
