--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,7 +29,7 @@
 	mostIn      = 0.6   // of what a query needs: then the rest are stragglers, not victims of overload
 	mostWait    = 0.1   // share of answers telling of waiting parts up to which spare work finds room
 	spareAt     = 2.0   // the same for a spare part, which costs no budget; times more for a move in place
-	coldUse     = 0.4   // of what a cold server bears of all: traffic may double, and connections cost work too
+	coldUse     = 0.4   // of what a cold server bears of all: traffic may double, connections cost work
 	probeSpend  = 0.015 // of a part's worth that may go into probes
 	reportAims  = 0.5   // aims after which a load report is worth nothing
 	idleAims    = 0.4   // aims without use after which a connection may be at fault: less is ordinary traffic
