--- a/policy/policy.go
+++ b/policy/policy.go
@@ -886,7 +886,7 @@
 		a.queued += gainRef * (min(r.Queue, 1) - a.queued)
 	}
 	if r.Rate > 0 && a.now > s.Started+a.set.ColdFor {
-		s.bears += gainDown * (r.Rate*a.work/1e6 - s.bears)
+		s.bears += gainDown * (r.Rate*a.refAll/1e6 - s.bears)
 		a.bears = max(a.bears, s.bears)
 	}
 }
