--- a/admin/admin.go
+++ b/admin/admin.go
@@ -41,13 +41,21 @@
 
 // Parts are what operators can reach of an instance. What is nil has no pages.
 type Parts struct {
-	Node  *group.Node
-	Fleet *fleet.Node
+	Agreement Agreement
+	Fleet     *fleet.Node
+}
+
+// Agreement is an instance's part in its group, with a vote or without.
+type Agreement interface {
+	Status() group.Status
+	State() agreed.State
+	Read(within time.Duration) (agreed.State, error)
+	Do(o group.Order, within time.Duration) agreed.Outcome
 }
 
 // Server answers operators.
 type Server struct {
-	node  *group.Node
+	node  Agreement
 	fleet *fleet.Node
 	token string
 	http  *http.Server
@@ -56,7 +64,7 @@
 
 // Start starts to answer at a listener. With a token every page but the health needs it.
 func Start(l net.Listener, p Parts, token string, log *logrus.Entry) *Server {
-	s := &Server{node: p.Node, fleet: p.Fleet, token: token, l: l}
+	s := &Server{node: p.Agreement, fleet: p.Fleet, token: token, l: l}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /", func(w http.ResponseWriter, r *http.Request) {
 		fail(w, 404, fmt.Errorf("this instance has no page %s: the part that it is of is off here", r.URL.Path))
--- a/agreed/model_test.go
+++ b/agreed/model_test.go
@@ -29,6 +29,69 @@
 	stale   Micros
 	seqs    map[uint64]uint64 // asks for leases by call
 	served  int               // moments at which an instance might serve
+	follow  []*mfollower
+}
+
+// mfollower is an instance without a vote.
+type mfollower struct {
+	*Follower
+	skew    Micros
+	events  []Event
+	version uint64
+	lease   Lease
+	paused  Micros
+	served  int
+}
+
+// followers adds instances that follow the first voter's address, and hear of the others from it.
+func (m *model) followers(n int) {
+	for i := range n {
+		m.follow = append(m.follow, &mfollower{Follower: NewFollower(Defaults(fmt.Sprint("w", i), bound, false), []string{"a0", "nowhere"}, Version{}),
+			skew: Micros(m.rng.IntN(1 << 40))})
+	}
+}
+
+func (m *model) followStep(f *mfollower) {
+	switch m.rng.IntN(2000) {
+	case 0:
+		f.paused = m.now + Micros(m.rng.IntN(3*bound))
+	case 1: // started again with nothing
+		*f = mfollower{Follower: NewFollower(f.set, []string{"a1", "a0"}, Version{}), skew: f.skew, served: f.served}
+	}
+	if f.paused > m.now {
+		return
+	}
+	events := f.events
+	f.events = nil
+	for _, a := range f.Step(m.now+f.skew, events) {
+		switch a := a.(type) {
+		case Activate:
+			f.version = a.Version.Number
+		case NewLease:
+			f.lease = a.Lease
+		case AskVoter:
+			i := slices.IndexFunc(m.roster, func(o Member) bool { return o.Addr == a.Voter.Addr })
+			if i < 0 {
+				continue
+			}
+			life := f.Follower
+			m.between(i, i, func(o *mnode) {
+				if o.cut && m.rng.IntN(2) == 0 { // a voter cut off from the others may still be reached
+					return
+				}
+				t := Answer(o.State(), o.Lease(), m.now+o.skew, m.roster, a.Ask)
+				t.Seq = a.Seq
+				m.post(i, 0, func(*mnode) {
+					if f.Follower == life {
+						f.events = append(f.events, t)
+					}
+				})
+			})
+		}
+	}
+	if f.lease.Holds(m.now+f.skew, f.version) {
+		f.served++
+	}
 }
 
 type mnode struct {
@@ -214,6 +277,9 @@
 			m.carryOut(i, a)
 		}
 	}
+	for _, f := range m.follow {
+		m.followStep(f)
+	}
 	m.check()
 }
 
@@ -282,18 +348,25 @@
 			replaced[before] = m.at[i]
 		}
 	}
-	for _, n := range m.nodes {
-		if n.paused > m.now || !n.Lease().Holds(m.now+n.skew, n.version) {
-			continue
-		}
-		m.served++
-		if at, old := replaced[n.version]; old {
+	serves := func(name string, version uint64) {
+		if at, old := replaced[version]; old {
 			m.stale = max(m.stale, m.now-at)
 			if m.now-at > bound {
-				m.t.Fatalf("%s serves version %d, which was replaced %d us ago", n.name, n.version, m.now-at)
+				m.t.Fatalf("%s serves version %d, which was replaced %d us ago", name, version, m.now-at)
 			}
 		}
 	}
+	for _, n := range m.nodes {
+		if n.paused <= m.now && n.Lease().Holds(m.now+n.skew, n.version) {
+			m.served++
+			serves(n.name, n.version)
+		}
+	}
+	for _, f := range m.follow {
+		if f.paused <= m.now && f.lease.Holds(m.now+f.skew, f.version) {
+			serves(f.set.Folder, f.version)
+		}
+	}
 }
 
 // TestModel holds the rules over random runs: the bound on staleness, one outcome a change at every instance, and
@@ -342,3 +415,63 @@
 	require.Greater(t, unknown, 50)
 	require.Greater(t, stale, Micros(bound/2), "the test came nowhere near the bound")
 }
+
+// Those without a vote keep the same bound through everything that befalls the voters, and serve.
+func TestModelOfFollowers(t *testing.T) {
+	stale, served, least, voters := Micros(0), 0, 1<<30, 0
+	for seed := range uint64(20) {
+		m := newModel(t, 500+seed, 3)
+		m.followers(12)
+		for range 3000 {
+			m.faults()
+			m.step()
+		}
+		stale = max(stale, m.stale)
+		voters += m.served
+		for _, f := range m.follow {
+			served += f.served
+			least = min(least, f.served)
+		}
+	}
+	t.Logf("longest service under a replaced version %d ms of %d; voters could serve at %.2f of all moments, followers at %.2f, the worst one at %.2f",
+		stale/1000, bound/1000, float64(voters)/(20*3*3000), float64(served)/(20*12*3000), float64(least)/3000)
+	require.Greater(t, stale, Micros(bound/2), "the test came nowhere near the bound")
+	require.Greater(t, float64(served)/12, 0.8*float64(voters)/3, "they serve about as much as the voters do")
+}
+
+func TestFollowersSpreadAndMoveOn(t *testing.T) {
+	voters := []Member{{Name: "n0", Addr: "a0", Voter: true}, {Name: "n1", Addr: "a1", Voter: true}, {Name: "n2", Addr: "a2", Voter: true}}
+	asked, moved := map[string]int{}, map[string]int{}
+	for i := range 300 {
+		f := NewFollower(Defaults(fmt.Sprint("w", i), bound, false), []string{"a0"}, Version{Number: 7, Digest: "of another group"})
+		one := func(now Micros, events ...Event) (a AskVoter) {
+			for _, act := range f.Step(now, events) {
+				if ask, ok := act.(AskVoter); ok {
+					a = ask
+				}
+			}
+			return a
+		}
+		first := one(0)
+		require.Equal(t, Ask{}, first.Ask, "it takes the version of the group that is there")
+		require.Equal(t, "a0", first.Voter.Addr)
+		told := Told{Seq: first.Seq, OK: true, Group: "g", Version: 3, Left: bound, Active: &Version{Number: 3, Digest: "d"}, Voters: voters}
+		a := one(100_000, told)
+		require.Equal(t, Ask{3, "d"}, a.Ask)
+		require.Equal(t, uint64(3), f.Active().Number)
+		asked[a.Voter.Addr]++
+		b := one(200_000, Silent{Seq: a.Seq}) // it died
+		require.NotEqual(t, a.Voter.Addr, b.Voter.Addr)
+		moved[b.Voter.Addr]++
+		require.Empty(t, f.Step(201_000, []Event{Told{Seq: a.Seq, OK: true, Group: "g", Version: 3, Left: bound}}), "an ask counts once")
+		one(300_000, Told{Seq: b.Seq, OK: true, Group: "other", Version: 9, Left: bound, Active: &Version{Number: 9}})
+		require.Equal(t, uint64(3), f.Active().Number, "of another group")
+		c := one(300_000+bound, Told{Seq: 99})
+		one(300_001+bound, Told{Seq: c.Seq, OK: true, Group: "g", Version: 2, Left: bound, Active: &Version{Number: 2}, Voters: voters})
+		require.Equal(t, uint64(3), f.Active().Number, "versions do not go back")
+	}
+	for _, m := range voters {
+		require.InDelta(t, 100, asked[m.Addr], 40)
+		require.InDelta(t, 100, moved[m.Addr], 40)
+	}
+}
--- a/agreement.go
+++ b/agreement.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"alderproxy/admin"
 	"alderproxy/agreed"
 	"alderproxy/broker"
 	"alderproxy/config"
@@ -21,7 +22,7 @@
 // agreement is the program's side of its group: it has the fronts serve by each version of the agreed document.
 type agreement struct {
 	p    *program
-	node *group.Node
+	node part
 
 	mu      sync.Mutex
 	version uint64
@@ -29,6 +30,14 @@
 	edge    *platform.Config   // the gatherer's; nil: that front is off
 }
 
+// part is this instance's part in its group, with a vote or without.
+type part interface {
+	admin.Agreement
+	Gate(version uint64) (open bool, comeBack time.Duration)
+	Used() uint64
+	Close() error
+}
+
 // atStep is set by tests that let an instance die in the middle of a change.
 var atStep func(step string)
 
@@ -55,25 +64,40 @@
 	if err != nil {
 		return fmt.Errorf("agreement.key_file: %w", err)
 	}
+	a := &agreement{p: p, edge: edge}
+	log := p.log.WithField("instance", p.config.ID)
+	conf := group.Config{Name: p.config.ID, Folder: p.config.Folder, Address: c.Address, Key: key, Voters: c.Follow,
+		Bound: c.StaleAfter, ServeOn: c.ServeStale, Speed: c.Speed, SnapshotAfter: c.SnapshotAfter, Log: log,
+		Check: a.check, Use: a.use, At: atStep}
+	if len(c.Follow) > 0 {
+		f, err := group.Follow(conf)
+		if err != nil {
+			return fmt.Errorf("agreement: %w", err)
+		}
+		a.node, p.agreement = f, a
+		log.WithField("voters", c.Follow).Info("following")
+		return nil
+	}
 	peers, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("agreement: %w", err)
 	}
-	a := &agreement{p: p, edge: edge}
-	log := p.log.WithField("instance", p.config.ID)
-	if a.node, err = group.Open(group.Config{Name: p.config.ID, Folder: p.config.Folder, Listener: peers, Address: c.Address, Key: key,
-		Bound: c.StaleAfter, ServeOn: c.ServeStale, Speed: c.Speed, SnapshotAfter: c.SnapshotAfter, Log: log,
-		Check: a.check, Use: a.use, At: atStep}); err != nil {
+	conf.Listener = peers
+	n, err := group.Open(conf)
+	if err != nil {
 		peers.Close()
 		return fmt.Errorf("agreement: %w", err)
 	}
+	a.node = n
 	log.WithField("listen", peers.Addr().String()).WithField("address", c.Address).Info("reachable for instances")
 	p.agreement = a
 	return nil
 }
 
 func (a *agreement) close() {
-	a.node.HandOverIfLeading(time.Second)
+	if n, votes := a.node.(*group.Node); votes {
+		n.HandOverIfLeading(time.Second)
+	}
 	if err := a.node.Close(); err != nil {
 		a.p.log.WithError(err).Warn("agreement not closed cleanly")
 	}
@@ -148,6 +172,9 @@
 	if c.Agreement == nil {
 		return "", errors.New("the instance's file has no [agreement]")
 	}
+	if len(c.Agreement.Follow) > 0 {
+		return "", errors.New("this instance follows others (agreement.follow): it cannot begin a group")
+	}
 	d, err := document.Parse("document", text)
 	if err != nil {
 		return "", err
--- a/agreement_test.go
+++ b/agreement_test.go
@@ -40,12 +40,14 @@
 slices = 0-1
 `
 
-// trio is three processes of the program that agree, with both fronts, over a faulty network.
+// trio is three processes of the program that agree, with both fronts, over a faulty network, and others that follow
+// them.
 type trio struct {
 	t         *testing.T
 	dir       string
 	faults    *faultnet.Network
 	bound     time.Duration
+	fleet     bool // they are members of a fleet
 	discovery *standin.Discovery
 	stores    []*standin.Store
 	instances map[string]*instance
@@ -55,8 +57,9 @@
 	name                string
 	trio                *trio
 	cmd                 *exec.Cmd
-	front               *faultnet.Front
-	search, edge, admin string // addresses
+	front               *faultnet.Front // nil: it follows
+	post                *faultnet.Post  // nil: it is member of no fleet
+	search, edge, admin string          // addresses
 	log                 *strings.Builder
 	mu                  sync.Mutex
 	ended               chan struct{}
@@ -64,7 +67,12 @@
 
 // newTrio starts three instances; the first one dies at a step of a change, if one is given.
 func newTrio(t *testing.T, bound time.Duration, dieAt string) *trio {
-	r := &trio{t: t, dir: t.TempDir(), faults: faultnet.New(5), bound: bound, instances: map[string]*instance{}}
+	return newFleet(t, bound, dieAt, false, 0)
+}
+
+// newFleet starts also so many that follow, f1 and on, and has all of them be members of a fleet.
+func newFleet(t *testing.T, bound time.Duration, dieAt string, fleet bool, follow int) *trio {
+	r := &trio{fleet: fleet, t: t, dir: t.TempDir(), faults: faultnet.New(5), bound: bound, instances: map[string]*instance{}}
 	for range 2 {
 		s := standin.NewSearchStore(t, "0 {\"_id\":\"a\",\"_score\":1}\n1 {\"_id\":\"b\",\"_score\":2}\n")
 		r.stores = append(r.stores, s)
@@ -81,12 +89,27 @@
 		for range r.discovery.Targets {
 		}
 	}()
-	for _, name := range []string{"n1", "n2", "n3"} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		t.Cleanup(func() { l.Close() })
-		i := &instance{name: name, trio: r, front: r.faults.Front(name, l)}
+	names := []string{"n1", "n2", "n3"}
+	for n := range follow {
+		names = append(names, fmt.Sprint("f", n+1))
+	}
+	for k, name := range names {
+		i := &instance{name: name, trio: r}
+		if k < 3 {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			t.Cleanup(func() { l.Close() })
+			i.front = r.faults.Front(name, l)
+		}
+		if fleet {
+			var err error
+			i.post, err = r.faults.Post(name)
+			require.NoError(t, err)
+			t.Cleanup(func() { i.post.Close() })
+		}
 		r.instances[name] = i
+	}
+	for _, i := range r.instances { // all addresses are known by now
 		i.write()
 	}
 	c, err := config.Load(r.instances["n1"].path("ini"))
@@ -100,7 +123,10 @@
 		require.NoError(t, err)
 		require.Equal(t, agreed.Done, o.Status, o.Why)
 	}
-	r.serving(1, "n1", "n2", "n3")
+	for _, name := range names[3:] {
+		r.instances[name].start("")
+	}
+	r.serving(1, names...)
 	return r
 }
 
@@ -112,8 +138,16 @@
 		fmt.Sprintf(standin.Settings, standin.Lookup, 0, 15_000_000))
 	require.NoError(r.t, os.WriteFile(i.path("json"), []byte(edge), 0o600))
 	text := fmt.Sprintf("[instance]\nid = %s\nfolder = %s\nadmin = 127.0.0.1:0\n[gatherer]\nconfig = %s\n[opensearch]\nlisten = 127.0.0.1:0\n"+
-		"[agreement]\nlisten = 127.0.0.1:0\naddress = %s\nstale_after = %s\nspeed = 2\n", i.name, i.path("folder"), i.path("json"),
-		i.front.Addr(), r.bound)
+		"[agreement]\nstale_after = %s\nspeed = 2\n", i.name, i.path("folder"), i.path("json"), r.bound)
+	if i.front != nil {
+		text += "listen = 127.0.0.1:0\naddress = " + i.front.Addr() + "\n"
+	} else { // one of the voters, by chance of the order, and an address at which nobody is
+		text += "follow = 127.0.0.1:1, " + r.instances["n1"].front.Addr() + ", " + r.instances["n2"].front.Addr() + "\n"
+	}
+	if r.fleet { // a fifth of the usual times
+		text += fmt.Sprintf("[membership]\nlisten = 127.0.0.1:0\naddress = %s\nseeds = 127.0.0.1:1, %s, %s\nperiod = 200ms\ndatagrams_per_s = 100\nzone = z%d\n",
+			i.post.Addr(), r.instances["n1"].post.Addr(), r.instances["n2"].post.Addr(), len(i.name)%2)
+	}
 	for n, s := range r.stores {
 		text += fmt.Sprintf("[store s-%d]\naddr = %s\n", n, s.Addr)
 	}
@@ -136,7 +170,7 @@
 	found := make(chan [2]string, 16)
 	go func() {
 		defer close(ended)
-		place := regexp.MustCompile(`msg="?(reachable for instances|serving operators|serving OpenSearch-style queries|serving)"? .*listen="?([0-9.:]+)`)
+		place := regexp.MustCompile(`msg="?(reachable for instances|reachable for members|serving operators|serving OpenSearch-style queries|serving)"? .*listen="?([0-9.:]+)`)
 		for lines := bufio.NewScanner(out); lines.Scan(); {
 			i.mu.Lock()
 			log.WriteString(lines.Text() + "\n")
@@ -147,10 +181,19 @@
 		}
 		cmd.Wait()
 	}()
-	for range 4 {
+	places := 3
+	if i.front != nil {
+		places++
+	}
+	if i.post != nil {
+		places++
+	}
+	for range places {
 		select {
 		case f := <-found:
 			switch f[0] {
+			case "reachable for members":
+				require.NoError(t, i.post.Behind(f[1]))
 			case "reachable for instances":
 				i.front.Behind(f[1])
 			case "serving operators":
@@ -230,6 +273,95 @@
 	return admin.Put{Request: request, Expect: expect, Text: fmt.Sprintf(sharedText, worth), Author: "test"}
 }
 
+// traffic is queries on both fronts of some instances, one after the other on a connection each, until it is stopped.
+type traffic struct {
+	r        *trio
+	done     atomic.Bool
+	mu       sync.Mutex
+	replaced map[string]time.Time // when a version was known to be replaced
+	tallies  chan tally
+	n        int
+}
+
+// tally is what became of queries. Each must have one final answer, by a version that was not replaced for longer
+// than the bound; versions never go back.
+type tally struct {
+	asked, served, refused int
+	bad                    []string
+}
+
+func (r *trio) traffic(names ...string) *traffic {
+	l := &traffic{r: r, replaced: map[string]time.Time{}, tallies: make(chan tally)}
+	for _, name := range names {
+		i := r.instances[name]
+		go l.run(i.search, func(int) []byte { return searchRequest() })
+		go l.run(i.edge, func(n int) []byte { return edgeRequest(fmt.Sprint(name, "-", n)) })
+		l.n += 2
+	}
+	return l
+}
+
+// changed notes that a version is replaced by now.
+func (l *traffic) changed(old uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.replaced[fmt.Sprint(old)] = time.Now()
+}
+
+func (l *traffic) run(addr string, request func(int) []byte) {
+	var sum tally
+	defer func() { l.tallies <- sum }()
+	last := ""
+	c, err := net.Dial("tcp", addr) // one connection: a second answer to a query would come before the next one's
+	if err != nil {
+		sum.bad = append(sum.bad, err.Error())
+		return
+	}
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for n := 0; !l.done.Load() && len(sum.bad) == 0; n++ {
+		began := time.Now()
+		c.SetDeadline(began.Add(5 * time.Second))
+		c.Write(request(n))
+		status, version, err := answered(in)
+		sum.asked++
+		l.mu.Lock()
+		at, old := l.replaced[version]
+		l.mu.Unlock()
+		switch {
+		case err != nil || in.Buffered() > 0 || status != 200 && status != 429 && status != 503:
+			sum.bad = append(sum.bad, fmt.Sprint(status, " ", err, " ", in.Buffered()))
+		case status != 200:
+			sum.refused++
+		case len(version) < len(last) || len(version) == len(last) && version < last:
+			sum.bad = append(sum.bad, version+" after "+last)
+		case old && began.Sub(at) > l.r.bound:
+			sum.bad = append(sum.bad, fmt.Sprint("version ", version, " served ", began.Sub(at), " after it was replaced"))
+		default:
+			sum.served, last = sum.served+1, version
+		}
+		if status != 200 {
+			time.Sleep(10 * time.Millisecond) // as Retry-After asks, but sooner
+		}
+	}
+	if len(sum.bad) > 0 {
+		return
+	}
+	c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if _, err := in.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+		sum.bad = append(sum.bad, fmt.Sprint("more came than was asked for: ", err))
+	}
+}
+
+func (l *traffic) stop() (sum tally) {
+	l.done.Store(true)
+	for range l.n {
+		t := <-l.tallies
+		sum.asked, sum.served, sum.refused, sum.bad = sum.asked+t.asked, sum.served+t.served, sum.refused+t.refused, append(sum.bad, t.bad...)
+	}
+	return sum
+}
+
 // leadBy has an instance lead.
 func (r *trio) leadBy(name string) {
 	require.Eventually(r.t, func() bool {
@@ -370,43 +502,7 @@
 	t.Parallel()
 	r := newTrio(t, 4*time.Second, "")
 	r.leadBy("n1")
-	var stop atomic.Bool
-	type tally struct {
-		asked int
-		bad   []string
-	}
-	tallies := make(chan tally)
-	for k, name := range []string{"n2", "n3", "n2", "n3"} {
-		go func() {
-			var sum tally
-			last := ""
-			addr, request := r.instances[name].search, func(int) []byte { return searchRequest() }
-			if k >= 2 {
-				addr, request = r.instances[name].edge, func(n int) []byte { return edgeRequest(fmt.Sprint(name, "-", n)) }
-			}
-			c, err := net.Dial("tcp", addr) // one connection: a second answer to a query would come before the next one's
-			if err != nil {
-				sum.bad = append(sum.bad, err.Error())
-			}
-			defer c.Close()
-			in := bufio.NewReader(c)
-			for n := 0; !stop.Load() && len(sum.bad) == 0; n++ {
-				c.SetDeadline(time.Now().Add(5 * time.Second))
-				c.Write(request(n))
-				status, version, err := answered(in)
-				sum.asked++
-				if status != 200 || err != nil || in.Buffered() > 0 || len(version) < len(last) || len(version) == len(last) && version < last {
-					sum.bad = append(sum.bad, fmt.Sprint(status, " ", version, " after ", last, " ", err, in.Buffered()))
-				}
-				last = version
-			}
-			c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
-			if _, err := in.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
-				sum.bad = append(sum.bad, fmt.Sprint("more came than was asked for: ", err))
-			}
-			tallies <- sum
-		}()
-	}
+	load := r.traffic("n2", "n3")
 	client := r.instances["n2"].client()
 	for v := uint64(1); v <= 8; v++ {
 		if v == 4 {
@@ -421,12 +517,10 @@
 		require.Equal(t, agreed.Done, o.Status, "%s %v", o.Why, err)
 	}
 	r.serving(9, "n2", "n3")
-	stop.Store(true)
-	for range 4 {
-		sum := <-tallies
-		assert.Empty(t, sum.bad)
-		assert.Greater(t, sum.asked, 50)
-	}
+	sum := load.stop()
+	assert.Empty(t, sum.bad)
+	assert.Zero(t, sum.refused, "refused though a majority was there")
+	assert.Greater(t, sum.asked, 200)
 }
 
 // Whatever is wrong with what an instance keeps is one line at its start, and nothing is served.
--- a/alderproxy.go
+++ b/alderproxy.go
@@ -121,13 +121,13 @@
 		}
 		useLimits(edge)
 	}
-	if p.config.Members != nil {
-		if err := p.join(); err != nil {
+	if p.config.Agreement != nil {
+		if err := p.agree(edge); err != nil {
 			return err
 		}
 	}
-	if p.config.Agreement != nil {
-		if err := p.agree(edge); err != nil {
+	if p.config.Members != nil { // after the agreement, of which it tells
+		if err := p.join(); err != nil {
 			return err
 		}
 	}
@@ -193,12 +193,12 @@
 	if p.operators != nil {
 		p.operators.Close()
 	}
-	if p.agreement != nil {
-		p.agreement.close()
-	}
 	if p.fleet != nil {
 		p.part()
 	}
+	if p.agreement != nil {
+		p.agreement.close()
+	}
 }
 
 // reload hands a configuration that was read again to the gatherer. One that cannot be used changes nothing.
--- a/cmd/alderproxy/cli_test.go
+++ b/cmd/alderproxy/cli_test.go
@@ -40,7 +40,7 @@
 	t.Cleanup(func() { n.Close() })
 	l, err = net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := admin.Start(l, admin.Parts{Node: n}, token, standin.Log())
+	s := admin.Start(l, admin.Parts{Agreement: n}, token, standin.Log())
 	t.Cleanup(func() { s.Close() })
 	require.Eventually(t, func() bool { open, _ := n.Gate(n.Used()); return open }, 10*time.Second, 5*time.Millisecond)
 	return s.Addr()
--- a/cmd/alderproxy/members.go
+++ b/cmd/alderproxy/members.go
@@ -147,7 +147,7 @@
 			}
 			m := s.Members[i]
 			return o.print(c.OutOrStdout(), m, func(w io.Writer) {
-				fmt.Fprintf(w, "%s (zone %q) at %s, started %s\n", m.Name, m.Zone, m.Addr, time.Unix(int64(m.Started), 0).UTC().Format(time.DateTime))
+				fmt.Fprintf(w, "%s (zone %q) at %s, started %s\n", m.Name, m.Zone, m.Addr, time.UnixMilli(m.Started).UTC().Format(time.DateTime))
 				fmt.Fprintf(w, "  %s for %s: %s\n", m.State, span(m.Since), cmp.Or(m.Why, "nothing was said against it"))
 				fmt.Fprintf(w, "  %s: %s\n", m.Reach, reaches[m.Reach])
 				fmt.Fprintf(w, "  word from it to %s: %s ago; in the newest periods it answered %d members that told so\n", s.Name, span(m.Heard), m.SeenBy)
--- a/config/config.go
+++ b/config/config.go
@@ -38,8 +38,9 @@
 
 // Agreement says how an instance agrees with others.
 type Agreement struct {
-	Listen, Address string // where the others reach it, as this machine and as they see it
-	KeyFile         string // holds the key that instances of a group prove to each other; empty: none
+	Listen, Address string   // where the others reach it, as this machine and as they see it
+	Follow          []string // where voters are, for an instance without a vote; it has no listener
+	KeyFile         string   // holds the key that instances of a group prove to each other; empty: none
 	StaleAfter      time.Duration
 	ServeStale      bool // go on when the bound has passed, rather than refuse
 	Speed           int  // divides Raft's usual times
@@ -166,7 +167,15 @@
 		ServeStale: s.Choice("when_stale", "refuse", "refuse", "serve") == "serve",
 		Speed:      s.Int("speed", 1, 1, 20), Keep: s.Int("keep", 1000, 2, 100_000),
 		SnapshotAfter: s.Int("snapshot_after", 200, 8, 100_000)}
-	s.Need("listen")
+	for _, v := range s.Places("follow") {
+		a.Follow = append(a.Follow, v.String())
+	}
+	switch {
+	case !s.Has("follow"):
+		s.Need("listen")
+	case a.Listen != "" || a.Address != "":
+		s.Fault("follow", "an instance without a vote has no listen or address: nobody dials it")
+	}
 	a.Address = cmp.Or(a.Address, a.Listen)
 	s.Done()
 	for _, name := range []string{"id", "folder", "admin"} {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,7 +80,7 @@
 // Open starts an instance's part.
 func Open(c Config) (*Node, error) {
 	if c.Member.Birth == 0 {
-		c.Member.Birth = uint32(time.Now().Unix())
+		c.Member.Birth = birth(time.Now())
 	}
 	if c.Member.Seed == 0 {
 		c.Member.Seed = rand.Uint64()
@@ -104,6 +104,16 @@
 	return n, nil
 }
 
+// Births are eighths of a second since 2026, so that one name started twice in a second is two lives; they last until
+// 2043.
+var firstBirth = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const birthsPerS = 8
+
+func birth(at time.Time) uint32 { return uint32(max(1, at.Sub(firstBirth)*birthsPerS/time.Second)) }
+
+func born(b uint32) time.Time { return firstBirth.Add(time.Duration(b) * time.Second / birthsPerS) }
+
 // Close ends it at once. What others are to know of that is said by Leave before.
 func (n *Node) Close() error {
 	close(n.stop)
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -32,7 +32,7 @@
 	Why     string `json:"why,omitempty"`
 	SeenBy  int    `json:"seen_by"`
 	Heard   int64  `json:"heard_ms"` // -1: never by this instance itself
-	Started uint32 `json:"started"`  // seconds since 1970, by its own clock
+	Started int64  `json:"started"`  // in milliseconds since 1970, by its own clock
 	Doubted bool   `json:"doubted,omitempty"`
 	Facts   []Fact `json:"facts,omitempty"`
 }
@@ -55,7 +55,7 @@
 	}
 	for _, m := range v.Members {
 		line := Member{Name: m.Name, Zone: m.Zone, Addr: m.Addr.String(), State: m.Standing.String(), Reach: m.Reach.String(),
-			Since: ago(m.Since), Why: m.Why, SeenBy: m.SeenBy, Heard: -1, Started: m.Birth, Doubted: m.Doubted}
+			Since: ago(m.Since), Why: m.Why, SeenBy: m.SeenBy, Heard: -1, Started: born(m.Birth).UnixMilli(), Doubted: m.Doubted}
 		if m.LastHeardAt > 0 {
 			line.Heard = ago(m.LastHeardAt)
 		}
--- a/group/group.go
+++ b/group/group.go
@@ -34,8 +34,9 @@
 	Address  string       // and by which address they know it
 	Key      []byte       // shared by the group; empty: none
 	Bound    time.Duration
-	ServeOn  bool // serve without a lease rather than refuse
-	Speed    int  // divides Raft's usual times; 0: 1
+	Voters   []string // where voters are, for an instance that follows; such a one has no listener
+	ServeOn  bool     // serve without a lease rather than refuse
+	Speed    int      // divides Raft's usual times; 0: 1
 	// SnapshotAfter is how many entries the log may have until it is compacted; 0: Raft's own.
 	SnapshotAfter int
 	Log           *logrus.Entry
@@ -50,30 +51,21 @@
 
 // Node is an instance's part in its group.
 type Node struct {
-	Config
-	id       raft.ServerID
-	store    *raftstore.Store
-	net      *peer.Net
-	raft     *raft.Raft
-	machine  *machine
-	core     *agreed.Core // the loop's
-	lease    atomic.Pointer[agreed.Lease]
-	state    atomic.Pointer[agreed.State]
-	group    atomic.Pointer[string]
-	used     atomic.Uint64 // the version that Use was last called for without an error
-	reason   string        // the loop's: why it does not serve as agreed, as logged last, and when that was
-	reported time.Time
-
-	mu      sync.Mutex
-	events  []agreed.Event
-	calls   map[uint64]chan agreed.Outcome
-	grants  map[uint64]chan agreed.GrantTo
-	lastNo  uint64
-	moved   chan struct{} // closed when the state moves on
-	wake    chan struct{}
-	stop    chan struct{}
-	use     chan agreed.Version
-	stopped sync.WaitGroup
+	serving
+	id      raft.ServerID
+	net     *peer.Net
+	raft    *raft.Raft
+	machine *machine
+	core    *agreed.Core // the loop's
+	state   atomic.Pointer[agreed.State]
+	group   atomic.Pointer[string]
+
+	mu     sync.Mutex
+	events []agreed.Event
+	calls  map[uint64]chan agreed.Outcome
+	grants map[uint64]chan agreed.GrantTo
+	lastNo uint64
+	moved  chan struct{} // closed when the state moves on
 }
 
 const (
@@ -153,8 +145,8 @@
 
 // Open starts an instance. With an empty folder it waits to be added to a group.
 func Open(c Config) (*Node, error) {
-	n := &Node{Config: c, calls: map[uint64]chan agreed.Outcome{}, grants: map[uint64]chan agreed.GrantTo{},
-		moved: make(chan struct{}), wake: make(chan struct{}, 1), stop: make(chan struct{}), use: make(chan agreed.Version, 1)}
+	n := &Node{serving: newServing(c), calls: map[uint64]chan agreed.Outcome{}, grants: map[uint64]chan agreed.GrantTo{}, moved: make(chan struct{})}
+	n.fields = n.Fields
 	var err error
 	if n.store, n.id, err = openFolder(c.Folder, c.Name); err != nil {
 		return nil, err
@@ -193,18 +185,15 @@
 	n.state.Store(&agreed.State{})
 	// What was served last is at hand before the log is: it is served only under a lease, or where the settings prefer
 	// service to agreement.
-	if text, err := n.store.Self(selfActive); err != nil {
+	if v, err := n.last(); err != nil {
 		return err
-	} else if text != "" {
-		var v agreed.Version
-		if err := json.Unmarshal([]byte(text), &v); err != nil {
-			return fmt.Errorf("folder %s: the version served last: %w", n.Folder, err)
-		}
+	} else if v.Number > 0 {
 		n.serve(v)
 	}
 	t := &transport{addr: raft.ServerAddress(n.Address), calls: make(chan raft.RPC)}
 	handlers := t.handlers(n.stop)
 	handlers[callLease], handlers[callCheck], handlers[callForward], handlers[callApplied] = n.leaseCalled, n.checkCalled, n.forwarded, n.appliedCalled
+	handlers[callFollow] = n.followCalled
 	ready := make(chan struct{})
 	for kind, h := range handlers { // nothing is answered before all is there
 		handlers[kind] = func(from string, body []byte, stream io.Reader) ([]byte, error) {
@@ -216,7 +205,14 @@
 			}
 		}
 	}
-	t.net = peer.Listen(peer.Config{ID: string(n.id), Group: func() string { return *n.group.Load() }, Key: n.Key, Log: n.Log}, n.Listener, handlers)
+	t.net = peer.Listen(peer.Config{ID: string(n.id), Group: func() string { return *n.group.Load() }, Key: n.Key, Log: n.Log, Guest: func(id string) bool {
+		select {
+		case <-ready:
+			return n.isGuest(id)
+		default:
+			return true // nobody can tell yet
+		}
+	}}, n.Listener, handlers)
 	n.net = t.net
 	conf := raft.DefaultConfig()
 	conf.LocalID, conf.Logger, conf.MaxAppendEntries = n.id, n.hclog(), 16
@@ -238,10 +234,7 @@
 		return fmt.Errorf("folder %s: %w", n.Folder, err)
 	}
 	close(ready)
-	for _, run := range []func(){n.loop, n.follow, func() { n.watch(leads) }} {
-		n.stopped.Add(1)
-		go func() { defer n.stopped.Done(); run() }()
-	}
+	n.run(n.loop, n.follow, func() { n.watch(leads) })
 	return nil
 }
 
@@ -255,17 +248,6 @@
 	return errors.Join(err, n.store.Close())
 }
 
-// Gate tells whether queries may be taken by a version at this moment, and if not, when to come back.
-func (n *Node) Gate(version uint64) (open bool, comeBack time.Duration) {
-	if n.lease.Load().Allows(clock.Now(), version) {
-		return true, 0
-	}
-	return false, retryAfter
-}
-
-// retryAfter is when clients that were refused for want of agreement may try again: it may be back at any time.
-const retryAfter = time.Second
-
 // tell hands an event to the loop. It never waits.
 func (n *Node) tell(e agreed.Event) {
 	n.mu.Lock()
@@ -274,13 +256,6 @@
 	n.tick()
 }
 
-func (n *Node) tick() {
-	select {
-	case n.wake <- struct{}{}:
-	default:
-	}
-}
-
 // loop owns the core.
 func (n *Node) loop() {
 	every := time.Duration(agreed.Defaults("", n.Bound.Microseconds(), false).AskEvery) * time.Microsecond / 8
@@ -319,29 +294,6 @@
 	}
 }
 
-// reportEvery is how often it is said again while it lasts.
-const reportEvery = 30 * time.Second
-
-// report logs when this instance begins or ends not to serve as agreed.
-func (n *Node) report() {
-	version := n.used.Load()
-	reason := n.lease.Load().Reason(clock.Now(), version)
-	kind, _, _ := strings.Cut(reason, " for ") // the time in it grows
-	if kind == n.reason && (kind == "" || time.Since(n.reported) < reportEvery) {
-		return
-	}
-	n.reason, n.reported = kind, time.Now()
-	log := n.Fields()
-	switch {
-	case reason == "":
-		log.Info("agreement holds")
-	case n.ServeOn && version > 0 && !n.lease.Load().Removed:
-		log.WithField("why", reason).Warn("serving without agreement, as the settings say")
-	default:
-		log.WithField("why", reason).Warn("not serving")
-	}
-}
-
 // Fields is the log with what every line about the agreement tells.
 func (n *Node) Fields() *logrus.Entry {
 	f := logrus.Fields{"instance": n.Name, "version": n.state.Load().Active().Number, "term": uint64(0), "leader": ""}
@@ -431,11 +383,9 @@
 	case agreed.Await:
 		go n.await(a.Member, span(set.CheckFor))
 	case agreed.Activate:
-		select { // only the newest counts
-		case <-n.use:
-		default:
+		if a.Version.Number > n.used.Load() { // the log is read again from the start
+			n.activate(a.Version)
 		}
-		n.use <- a.Version
 	case agreed.NewLease:
 		n.lease.Store(&a.Lease)
 		if a.Lease.Removed {
@@ -448,42 +398,6 @@
 	}
 }
 
-// follow has the instance serve by each version that becomes active.
-func (n *Node) follow() {
-	for {
-		select {
-		case v := <-n.use:
-			if v.Number <= n.used.Load() { // the log is read again from the start
-				continue
-			}
-			if n.serve(v) {
-				text, err := json.Marshal(v)
-				if err == nil {
-					err = n.store.SetSelf(selfActive, string(text))
-				}
-				if err != nil {
-					n.Log.WithError(err).Error("the version in use could not be kept")
-				}
-			}
-			n.tick()
-		case <-n.stop:
-			return
-		}
-	}
-}
-
-// serve has the instance serve by a version.
-func (n *Node) serve(v agreed.Version) bool {
-	log := n.Fields().WithFields(logrus.Fields{"version": v.Number, "digest": v.Digest, "author": v.Author, "reason": v.Reason})
-	if err := n.Use(v); err != nil {
-		log.WithError(err).Error("the agreed document cannot be served here: the last one stands until the bound passes")
-		return false
-	}
-	n.used.Store(v.Number)
-	log.Info("version active")
-	return true
-}
-
 func (n *Node) at(step string) {
 	if n.At != nil {
 		n.At(step)
--- a/group/operate.go
+++ b/group/operate.go
@@ -187,6 +187,7 @@
 	Lease    int64           `json:"lease_ms"`          // how much longer it may serve by it; 0: it may not
 	Why      string          `json:"why,omitempty"`     // it does not serve as agreed
 	Members  []agreed.Member `json:"members"`
+	Follows  []string        `json:"follows,omitempty"` // voters that it asks, in turn: it has no vote itself
 	LogFirst uint64          `json:"log_first"`
 	LogLast  uint64          `json:"log_last"`
 }
@@ -203,18 +204,13 @@
 	if s.Pending != nil {
 		st.Pending = s.Pending.Request
 	}
-	if lease.Holds(at, used) {
-		st.Lease = (lease.Until(used) - at) / 1000
-	}
+	st.Lease = n.leaseLeft()
 	return st
 }
 
 // State is what the log has made here so far.
 func (n *Node) State() agreed.State { return *n.state.Load() }
 
-// Used is the version that this instance serves by; 0: none.
-func (n *Node) Used() uint64 { return n.used.Load() }
-
 // Read is the state as a majority confirms it: everything that was agreed on before the call is in it.
 func (n *Node) Read(within time.Duration) (agreed.State, error) {
 	until := time.Now().Add(within)
--- a/group/recover.go
+++ b/group/recover.go
@@ -47,7 +47,7 @@
 }
 
 func remains(folder, name string) (n *Node, snaps raft.SnapshotStore, rem Remains, err error) {
-	n = &Node{Config: Config{Folder: folder, Name: name}}
+	n = &Node{serving: newServing(Config{Folder: folder, Name: name})}
 	if n.store, n.id, err = openFolder(folder, name); err != nil {
 		return n, nil, rem, err
 	}
--- a/group/transport.go
+++ b/group/transport.go
@@ -25,6 +25,7 @@
 	callCheck
 	callForward
 	callApplied
+	callFollow
 )
 
 // rpcLimit is how long a Raft call may take; a snapshot has more.
--- a/operators.go
+++ b/operators.go
@@ -19,7 +19,7 @@
 	}
 	parts := admin.Parts{Fleet: p.fleet}
 	if p.agreement != nil {
-		parts.Node = p.agreement.node
+		parts.Agreement = p.agreement.node
 	}
 	p.operators = admin.Start(l, parts, string(token), p.log.WithField("instance", p.config.ID))
 	return nil
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -34,8 +34,9 @@
 const (
 	shakeLimit = 2 * time.Second // for the handshake, and for the first byte after it
 	idleLimit  = 30 * time.Second
-	maxIdle    = 4   // connections kept to one instance
-	maxConns   = 256 // taken in at once
+	maxIdle    = 4    // connections kept to one instance
+	maxConns   = 1024 // taken in at once
+	maxGuests  = 768  // of these from guests: the rest is for the few
 	callLimit  = 30 * time.Second
 )
 
@@ -58,6 +59,8 @@
 	Group func() string // the group it belongs to now; empty: none yet
 	Key   []byte        // shared by the group; empty: none
 	Log   *logrus.Entry
+	// Guest tells whether one that proved itself is none of the few that must always come through; nil: nobody is.
+	Guest func(id string) bool
 }
 
 // Net is one instance's end of all connections.
@@ -69,6 +72,7 @@
 	handlers map[byte]Handler
 	idle     map[Target][]*conn
 	taken    map[net.Conn]bool
+	guests   int
 	closed   bool
 	warned   time.Time
 	wg       sync.WaitGroup
@@ -84,10 +88,16 @@
 	used time.Time
 }
 
+// New returns an end that makes calls and takes none.
+func New(c Config) *Net {
+	return &Net{Config: c, idle: map[Target][]*conn{}, taken: map[net.Conn]bool{}}
+}
+
 // Listen begins to take connections. Handle must have been called for all kinds before calls come: so it is given
 // them here.
 func Listen(c Config, l net.Listener, handlers map[byte]Handler) *Net {
-	n := &Net{Config: c, l: l, handlers: handlers, idle: map[Target][]*conn{}, taken: map[net.Conn]bool{}}
+	n := New(c)
+	n.l, n.handlers = l, handlers
 	n.wg.Add(1)
 	go n.accept()
 	return n
@@ -100,7 +110,9 @@
 func (n *Net) Close() {
 	n.mu.Lock()
 	n.closed = true
-	n.l.Close()
+	if n.l != nil {
+		n.l.Close()
+	}
 	for c := range n.taken {
 		c.Close()
 	}
@@ -384,7 +396,7 @@
 }
 
 func (n *Net) serve(nc net.Conn) error {
-	r := bufio.NewReaderSize(nc, 64<<10)
+	r := bufio.NewReaderSize(nc, 4<<10) // there may be many; longer reads pass it by
 	from, err := n.welcome(nc, r)
 	if errors.Is(err, io.EOF) {
 		return nil // it only wanted to know who is here
@@ -392,6 +404,12 @@
 	if err != nil {
 		return err
 	}
+	if n.Guest != nil && n.Guest(from) {
+		if !n.admit(1) {
+			return fmt.Errorf("%w: from %s: %d instances that follow are connected", ErrRefused, from, maxGuests)
+		}
+		defer n.admit(-1)
+	}
 	for {
 		nc.SetReadDeadline(time.Now().Add(idleLimit))
 		if _, err := r.Peek(1); err != nil {
@@ -424,6 +442,17 @@
 	}
 }
 
+// admit counts one guest more or less, and tells whether there is room for it.
+func (n *Net) admit(by int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.guests+by > maxGuests {
+		return false
+	}
+	n.guests += by
+	return true
+}
+
 // chunks reads the pieces of a stream.
 type chunks struct {
 	r    io.Reader
