Let the platform's gatherers take part in the membership, off by default

Change: peer_listen and peers of the platform's configuration, [gatherer] membership = on where the settings allow datagrams; time through the standard library there.

--- a/alderproxy.go
+++ b/alderproxy.go
@@ -130,10 +130,14 @@
 			return err
 		}
 	}
-	if p.config.Members != nil { // after the agreement, of which it tells
-		if err := p.join(); err != nil {
-			return err
-		}
+	switch { // after the agreement, of which it tells
+	case p.config.Members != nil:
+		err = p.join(p.config.Members, false)
+	case p.config.PeersTell && edge != nil && len(edge.Peers.All) > 0:
+		err = p.join(tier(edge), true)
+	}
+	if err != nil {
+		return err
 	}
 	if p.config.Admin != "" {
 		if err := p.operate(); err != nil {
--- a/config/config.go
+++ b/config/config.go
@@ -25,6 +25,7 @@
 	Admin      string // where operators reach it; empty: nowhere
 	TokenFile  string // holds the word that operators show; empty: whoever reaches the address may do all
 	Gatherer   string // the platform's JSON; empty: that front is off
+	PeersTell  bool   // the gatherer takes part in the membership of its tier, where the platform allows datagrams
 	OpenSearch *opensearch.Config
 	Log        Log
 	Agreement  *Agreement         // nil: the instance stands alone
@@ -99,6 +100,7 @@
 	l.Done()
 	g := f.Only("gatherer")
 	c.Gatherer = g.Text("config", "")
+	c.PeersTell = g.Bool("membership", false)
 	g.Done()
 	c.OpenSearch = search(f.Only("opensearch"), number, fleet)
 	c.stores(f)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -26,6 +26,7 @@
 	Group  string            // datagrams of other groups change nothing
 	Key    []byte            // shared by the group; empty: none
 	Conn   *net.UDPConn
+	Now    func() membership.Micros // nil: clock.Now
 	Log    *logrus.Entry
 }
 
@@ -85,7 +86,10 @@
 	if c.Member.Seed == 0 {
 		c.Member.Seed = rand.Uint64()
 	}
-	g, err := membership.New(c.Member, clock.Now())
+	if c.Now == nil {
+		c.Now = clock.Now
+	}
+	g, err := membership.New(c.Member, c.Now())
 	if err != nil {
 		return nil, err
 	}
@@ -247,7 +251,7 @@
 			}
 		}
 		n.config.Conn.SetWriteDeadline(time.Now().Add(ioLimit))
-		for _, a := range n.group.Step(clock.Now(), events...) {
+		for _, a := range n.group.Step(n.config.Now(), events...) {
 			n.carryOut(a, &counts)
 		}
 		n.mu.Lock()
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"alderproxy/internal/clock"
 	"alderproxy/membership"
 )
 
@@ -46,7 +45,7 @@
 
 // Status tells it.
 func (n *Node) Status() Status {
-	v, at := n.look(), clock.Now()
+	v, at := n.look(), n.config.Now()
 	ago := func(t membership.Micros) int64 { return (at - t) / int64(time.Millisecond/time.Microsecond) }
 	s := Status{Name: n.config.Member.Name, Group: n.config.Group, View: v.Version, Digest: fmt.Sprintf("%08x", v.Digest),
 		Trusted: v.Trusted, Alive: v.Alive(), Counts: *n.counts.Load()}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -143,6 +143,9 @@
 // Micros is a whole number by its path, or 0.
 func (f *Facts) Micros(path string) policy.Micros { return f.micros(path) }
 
+// Flag is whether a setting is true.
+func (f *Facts) Flag(path string) bool { return f.flag(path) }
+
 // List is a list of plain values by its path.
 func (f *Facts) List(path string) []string { return f.list(path) }
 
--- a/members.go
+++ b/members.go
@@ -7,13 +7,28 @@
 
 	"github.com/sirupsen/logrus"
 
+	"alderproxy/config"
 	"alderproxy/fleet"
 	"alderproxy/membership"
+	"alderproxy/platform"
 )
 
-// join starts this instance's part in the membership of its fleet.
-func (p *program) join() error {
-	c := p.config.Members
+// tier is the part that a gatherer has in the membership of its platform's tier. The platform has no key.
+func tier(edge *platform.Config) *config.Members {
+	own := edge.Peers.All[edge.Settings.Number]
+	period := time.Second
+	return &config.Members{Listen: edge.Peers.Listen, Group: "tier", Member: membership.Config{Name: edge.Name, Addr: own,
+		Seeds: edge.Peers.All, Period: period.Microseconds(), Hold: 8 * period.Microseconds(), Budget: 30, Forget: time.Hour.Microseconds()}}
+}
+
+// join starts this instance's part in the membership of its fleet. The platform has the program read the time through
+// the standard library, which stands still while a machine sleeps; machines there do not.
+func (p *program) join(c *config.Members, onPlatform bool) error {
+	var now func() membership.Micros
+	if onPlatform {
+		began := time.Now()
+		now = func() membership.Micros { return time.Since(began).Microseconds() + 1 }
+	}
 	key, err := secret(c.KeyFile)
 	if err != nil {
 		return fmt.Errorf("membership.key_file: %w", err)
@@ -26,17 +41,17 @@
 	if err != nil {
 		return fmt.Errorf("membership: %w", err)
 	}
-	log := p.log.WithField("instance", p.config.ID)
-	if p.fleet, err = fleet.Open(fleet.Config{Member: c.Member, Group: c.Group, Key: key, Conn: conn, Log: log}); err != nil {
+	log := p.log.WithField("instance", c.Member.Name)
+	if p.fleet, err = fleet.Open(fleet.Config{Member: c.Member, Group: c.Group, Key: key, Conn: conn, Log: log, Now: now}); err != nil {
 		conn.Close()
 		return err
 	}
 	log.WithField("listen", conn.LocalAddr().String()).WithField("address", c.Member.Addr.String()).Info("reachable for members")
 	p.telling = ends{make(chan struct{}), make(chan struct{})}
 	go p.tellFacts()
-	if c := p.config.OpenSearch; c != nil {
-		self := membership.NameID(p.config.ID)
-		c.Share = func() (int, int) { return p.fleet.View().Share(self, c.Number, c.Fleet) }
+	if o := p.config.OpenSearch; o != nil {
+		self := membership.NameID(c.Member.Name)
+		o.Share = func() (int, int) { return p.fleet.View().Share(self, o.Number, o.Fleet) }
 	}
 	return nil
 }
