Take nobody out on one teller's word beside an own doubt, and send facts with their member

Cause: with other draws a liar's Dead met an own unanswered probe of a member whose budget the lies had used up (trace: one teller, n7, and an own accusation), which counted as attested; facts in a state sent ahead of the member's own line were dropped where datagrams overtake each other. Change: two tellers always; a fact that does not fit goes in the next datagram with its member's line; drawing a few members no longer walks all.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -381,9 +381,19 @@
 // size is how many are there, this one included.
 func (g *Group) size() int { return g.there }
 
-// some draws so many others that fit.
+// some draws so many others that fit. Where most do, a few draws find them, whatever the number of members; else all
+// are looked at.
 func (g *Group) some(n int, fits func(*member) bool) []*member {
 	var out []*member
+	for tries := 0; len(out) < n && tries < 4*n; tries++ {
+		if m := g.all[g.rng.IntN(len(g.all))]; m != g.self && !slices.Contains(out, m) && fits(m) {
+			out = append(out, m)
+		}
+	}
+	if len(out) == n {
+		return out
+	}
+	out = nil
 	for _, m := range g.all {
 		if m != g.self && fits(m) {
 			out = append(out, m)
--- a/membership/rumor.go
+++ b/membership/rumor.go
@@ -129,7 +129,7 @@
 		return false
 	}
 	m.gone[from] = true
-	if len(m.gone) >= min(2, g.there-2) || m.accusers[g.self.ID] {
+	if len(m.gone) >= min(2, g.there-2) {
 		return true
 	}
 	if u.Standing == Dead {
@@ -540,9 +540,9 @@
 			if f.Left <= 0 {
 				continue
 			}
-			if f.size() > state.room() {
+			if f.size() > state.room() { // who is not known yet, as datagrams overtake each other, has no facts
 				g.backlog = append(g.backlog, Send{to, state})
-				state = Message{Kind: State}
+				state = Message{Kind: State, Updates: []Update{u}}
 			}
 			state.Facts = append(state.Facts, f)
 		}
