--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -272,25 +272,41 @@
 		`"hits":{"total":{"value":%d,"relation":"eq"},"max_score":1.5,"hits":[%s]}}`, len(own), strings.Join(own, ","))
 }
 
-// Discovery is a stand-in for discovery: it tells what it is given.
+// Discovery is a stand-in for discovery: it tells what it is given, at once or when the wait of a watch is over.
 type Discovery struct {
 	Addr    string
-	Targets chan string // what was asked
+	Targets chan string // what was asked; what nobody takes is dropped
 
 	mu      sync.Mutex
+	l       net.Listener
 	version int
 	answer  string
 	changed chan struct{}
 	refuse  int // status of the next call's answer; 0: the list
+	silent  bool
+	raw     string                 // goes out in place of an answer, and nothing behind it
+	conns   map[net.Conn]chan bool // closed where a connection says nothing more
 }
 
 // NewDiscovery starts discovery with a full list of entries.
 func NewDiscovery(t *testing.T, entries ...string) *Discovery {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	d := &Discovery{Addr: l.Addr().String(), Targets: make(chan string, 256), changed: make(chan struct{})}
+	d := &Discovery{Addr: "127.0.0.1:0", Targets: make(chan string, 256), changed: make(chan struct{}),
+		conns: map[net.Conn]chan bool{}}
+	require.NoError(t, d.Up())
+	t.Cleanup(d.Down)
 	d.Tell(true, entries...)
+	return d
+}
+
+// Up has it listen (again) on its address.
+func (d *Discovery) Up() error {
+	l, err := net.Listen("tcp", d.Addr)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.l, d.Addr = l, l.Addr().String()
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -300,7 +316,54 @@
 			go d.serve(c)
 		}
 	}()
-	return d
+	return nil
+}
+
+// Down ends its process: connections are reset and new ones refused.
+func (d *Discovery) Down() {
+	d.mu.Lock()
+	d.l.Close()
+	d.mu.Unlock()
+	d.Reset()
+}
+
+// Reset ends all open connections.
+func (d *Discovery) Reset() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.conns {
+		c.Close()
+	}
+}
+
+// Mute has all open connections stay open and say nothing more. New ones are served.
+func (d *Discovery) Mute() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c, mute := range d.conns {
+		d.conns[c] = nil
+		if mute != nil {
+			close(mute)
+		}
+	}
+}
+
+// Silence has calls that come from now on never answered, also not later, and those that are out. False ends it.
+func (d *Discovery) Silence(on bool) {
+	d.mu.Lock()
+	d.silent = on
+	d.mu.Unlock()
+	if on {
+		d.Mute()
+	}
+}
+
+// Raw has each connection say text where an answer is due, and then nothing more. Empty ends it.
+func (d *Discovery) Raw(text string) {
+	d.mu.Lock()
+	d.raw = text
+	d.mu.Unlock()
+	d.Mute()
 }
 
 // Tell brings out news.
@@ -329,26 +392,65 @@
 }
 
 func (d *Discovery) serve(c net.Conn) {
-	defer c.Close()
+	mute := make(chan bool)
+	d.mu.Lock()
+	d.conns[c] = mute
+	d.mu.Unlock()
+	defer func() {
+		c.Close()
+		d.mu.Lock()
+		delete(d.conns, c)
+		d.mu.Unlock()
+	}()
 	for r := bufio.NewReader(c); ; {
 		req, err := httpwire.ReadRequest(r)
 		if err != nil {
 			return
 		}
-		d.Targets <- req.Target
+		select {
+		case d.Targets <- req.Target:
+		default:
+		}
 		if status := d.refusal(); status != 0 {
 			c.Write(httpwire.AppendResponse(nil, status, nil, nil, false))
 			continue
 		}
-		for {
-			d.mu.Lock()
-			answer, changed, stale := d.answer, d.changed, strings.Contains(req.Target, "from="+strconv.Itoa(d.version)+"&")
-			d.mu.Unlock()
-			if !stale {
-				c.Write(httpwire.AppendResponse(nil, 200, nil, []byte(answer), false))
-				break
-			}
-			<-changed
+		out, ok := d.due(req.Target, mute)
+		if c.Write(out); !ok { // says nothing more, and stays open until the other side leaves
+			io.Copy(io.Discard, r)
+			return
+		}
+	}
+}
+
+// due waits until an answer is and returns it; not ok: nothing follows it on its connection.
+func (d *Discovery) due(target string, mute chan bool) (out []byte, ok bool) {
+	var hold time.Duration
+	if _, ms, watch := strings.Cut(target, "hold_ms="); watch {
+		n, _ := strconv.Atoi(ms)
+		hold = time.Duration(n) * time.Millisecond
+	}
+	over := time.After(hold)
+	for {
+		d.mu.Lock()
+		answer, changed, held := d.answer, d.changed, strings.Contains(target, "from="+strconv.Itoa(d.version)+"&")
+		nothing := fmt.Sprintf(`{"version":%d,"full":false,"servers":[]}`, d.version)
+		silent, raw := d.silent, d.raw
+		d.mu.Unlock()
+		switch {
+		case silent:
+			return nil, false
+		case raw != "":
+			return []byte(raw), false
+		case !held:
+			return httpwire.AppendResponse(nil, 200, nil, []byte(answer), false), true
+		}
+		select {
+		case <-changed:
+		case <-mute:
+			return nil, false
+		case <-over:
+			return httpwire.AppendResponse(nil, 200, nil, []byte(nothing), false), true
 		}
 	}
 }
--- a/storepool/conn.go
+++ b/storepool/conn.go
@@ -38,6 +38,7 @@
 	nc     net.Conn
 	err    error // why it was closed; nil while open
 	last   bool  // nothing new may be put on it
+	fenced bool  // nor may anything that waits to be written go out on it, but the word that a part is given up
 	calls  map[string]*sent
 	stale  map[string]bool // ids given up here: a late answer could be taken for that of a new attempt
 	probes []*probe        // written, in order
@@ -138,7 +139,7 @@
 // stopSending takes back what was not written yet. Nothing new goes out on the connection.
 func (c *conn) stopSending() {
 	c.mu.Lock()
-	c.last = true
+	c.last, c.fenced = true, true
 	var never []*broker.Attempt
 	for id, s := range c.calls {
 		if !s.written && s.Begin() { // from here the writer can't begin it any more
@@ -287,7 +288,7 @@
 		buf = c.pool.codec.AppendGiveUp(buf, it.giveUp)
 	case it.probe != nil:
 		c.mu.Lock()
-		if c.err != nil {
+		if c.err != nil || c.fenced {
 			c.mu.Unlock()
 			it.probe.end(broker.Outcome{Status: policy.Unconnected, Report: policy.NoReport})
 			return buf, nil
--- a/storepool/pool.go
+++ b/storepool/pool.go
@@ -131,15 +131,15 @@
 		if st == nil {
 			st = &store{}
 			p.stores[s.ID] = st
-		} else if st.Addr != s.Addr || st.Started != s.Started {
+		} else if st.Addr != s.Addr || st.Started != s.Started || st.Cell != s.Cell {
 			// A fresh process knows nothing of connections to the old one, and at a machine that had vanished
 			// these look open until something is written to them.
 			keep := st.conns[:0:0]
 			for _, c := range st.conns {
-				if st.Addr == s.Addr && c.opened.UnixMicro() > s.Started {
+				if st.Addr == s.Addr && st.Cell == s.Cell && c.opened.UnixMicro() > s.Started {
 					keep = append(keep, c)
-				} else {
-					retire = append(retire, c)
+				} else { // nor may what waits there go to the old one
+					drop, retire = append(drop, c), append(retire, c)
 				}
 			}
 			st.conns = keep
