Cap no list of stores or instances below 1,024, and share descriptors by need

Found by reading and by tests that failed: an instance's file (256 KiB) held about 1,000 bare store sections without a comment; 768 connections of followers at a voter; 1,000 members as the newcomer's count; a queue of 144 slots taken for each store connection, used or not; and no account of descriptors between clients (five eighths) and stores (as many as came): 400 stores and clients at their bound are more than 512.

Connections to stores use what clients leave of the descriptors but for an eighth; beyond that the one idle longest makes room.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -18,7 +18,6 @@
 	"alderproxy/document"
 	"alderproxy/fleet"
 	"alderproxy/group"
-	"alderproxy/inifile"
 )
 
 // Put asks for a change: of the text, or, where Restores is set, back to a kept version.
@@ -35,7 +34,7 @@
 const (
 	orderLimit = 20 * time.Second
 	readLimit  = 5 * time.Second
-	maxBody    = 2 * inifile.MaxSize
+	maxBody    = 2 * document.MaxSize
 	maxConns   = 64
 )
 
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -69,3 +70,16 @@
 		}
 	}
 }
+
+// Some hundreds of stores and indices, with room to spare: no bound on a file may cap their lists.
+func TestThousandStoresAndIndicesFitAFile(t *testing.T) {
+	text := strings.NewReplacer("cells = 2", "cells = 1024", "[store s-2]\naddr = 127.0.0.1:9302\ncell = 1\n", "").Replace(good)
+	for i := range 1023 {
+		text += fmt.Sprintf("\n[store s-%s-%d]\n# %s\naddr = 10.%d.%d.1:9301\ncell = %d\nsize = 1.5\n[index i-%s-%d]\nclass = lookup\nslices = 0\n",
+			strings.Repeat("s", 16), i, strings.Repeat("x", 200), i/256, i%256, i, strings.Repeat("n", 16), i)
+	}
+	c, err := Parse("n1.ini", text)
+	require.NoError(t, err)
+	assert.Len(t, c.OpenSearch.Stores, 1024)
+	assert.Len(t, c.Own.Indices, 1024)
+}
--- a/document/document.go
+++ b/document/document.go
@@ -6,6 +6,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"strings"
 	"time"
 
@@ -56,6 +57,9 @@
 	Slices      []int
 }
 
+// MaxSize bounds a document, in bytes: every version that is kept takes as much, on every instance.
+const MaxSize = 256 << 10
+
 // Bounds of a document: more is no configuration but a mistake.
 const (
 	maxClasses, maxTeams, maxIndices = 256, 256, 1024
@@ -65,6 +69,9 @@
 
 // Parse reads a text that has shared sections only. Its error is inifile.Faults.
 func Parse(name, text string) (*Document, error) {
+	if len(text) > MaxSize {
+		return nil, inifile.Faults{{File: name, What: fmt.Sprintf("is over %d bytes", MaxSize)}}
+	}
 	f := inifile.Read(name, text)
 	if !f.Broken() {
 		f.Known(Kinds)
@@ -100,6 +107,9 @@
 	if f.Broken() {
 		return d
 	}
+	if size := len(Shared(f)); size > MaxSize { // of an instance's file, which may be longer
+		f.Only("layout").Fault("", "the shared sections are over %d bytes", MaxSize)
+	}
 	d.layout(f.Only("layout"))
 	d.limits(f.Only("limits"))
 	teams := map[string]bool{}
--- /dev/null
+++ b/drain_test.go
@@ -0,0 +1,158 @@
+package alderproxy
+
+import (
+	"bufio"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"alderproxy/httpwire"
+	"alderproxy/internal/standin"
+)
+
+// arrivals keeps when calls came to a store.
+type arrivals struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func watchArrivals(s *standin.Store) *arrivals {
+	a := &arrivals{}
+	go func() {
+		for p := range s.Parts {
+			if p[0] == '1' {
+				a.mu.Lock()
+				a.times = append(a.times, time.Now())
+				a.mu.Unlock()
+			}
+		}
+	}()
+	return a
+}
+
+func (a *arrivals) between(from, to time.Time) (n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, t := range a.times {
+		if t.After(from) && t.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// The rule, checked at the store: no call reaches one later than the grace (and the protocol's 50 ms) after discovery
+// told that it drains. Processes of a large fleet serve queries while discovery fails in each of its ways, one of them
+// killed and started again with an old list, and a store begins to drain right at discovery's return.
+func TestNoProcessCallsALeavingStoreHoweverDiscoveryFailed(t *testing.T) {
+	const processes, grace = 4, 550 * time.Millisecond
+	leaving, other := standin.NewFrameStore(t), standin.NewFrameStore(t)
+	came := watchArrivals(leaving)
+	watchArrivals(other)
+	in, out := standin.Entry("s-1", leaving, "in_service"), standin.Entry("s-1", leaving, "terminating")
+	d := standin.NewDiscovery(t, in, standin.Entry("s-2", other, "in_service"))
+	config := func() string {
+		known := fmt.Sprintf(`,"known":{"version":1,"full":true,"servers":[%s,%s]}`, in, standin.Entry("s-2", other, "in_service"))
+		return strings.Replace(strings.TrimSuffix(settings(d), "}")+known+"}", `"fleet_size":1`, `"fleet_size":300`, 1)
+	}
+	var served, odd atomic.Int64
+	var id atomic.Int64
+	var clients sync.WaitGroup
+	stop := make(chan struct{})
+	defer clients.Wait()
+	defer close(stop)
+	query := func(cl *standin.Client) {
+		defer clients.Done()
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			cl.SetDeadline(time.Now().Add(10 * time.Second))
+			if _, err := cl.Write(lookup(fmt.Sprint("q", id.Add(1)))); err != nil {
+				return // its process was killed
+			}
+			resp, err := httpwire.ReadResponse(cl.R)
+			if err != nil {
+				return
+			}
+			if served.Add(1); resp.Status != 200 {
+				odd.Add(1)
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+	begin := func() (kill func()) {
+		c, _, cl, lines := running(t, config())
+		go drainLog(lines)
+		clients.Add(1)
+		go query(cl)
+		return func() { c.Process.Signal(syscall.SIGKILL); c.Wait() }
+	}
+	kills := make([]func(), processes)
+	for i := range kills {
+		kills[i] = begin()
+	}
+	calls := func(n int) {
+		for len(d.Targets) > 0 {
+			<-d.Targets
+		}
+		for range n {
+			select {
+			case <-d.Targets:
+			case <-time.After(10 * time.Second):
+				require.Fail(t, "discovery is not asked")
+			}
+		}
+	}
+	for _, c := range []struct {
+		name string
+		fail func()
+	}{
+		{"no fault", func() {}},
+		{"silent for a while", func() { d.Silence(true); calls(6 * processes); d.Silence(false) }},
+		{"open watches fall silent", d.Mute},
+		{"watches are reset", d.Reset},
+		{"down and back", func() { d.Down(); require.NoError(t, d.Up()) }},
+		{"a process starts anew", func() { kills[0](); kills[0] = begin() }},
+		{"killed, and discovery too", func() { d.Silence(true); calls(processes); kills[0](); d.Silence(false) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			before := came.between(time.Time{}, time.Now())
+			require.Eventually(t, func() bool { return came.between(time.Time{}, time.Now()) > before+20 }, 10*time.Second, time.Millisecond,
+				"the store is in use")
+			c.fail()
+			d.Tell(true, out, standin.Entry("s-2", other, "in_service"))
+			told := time.Now()
+			if strings.HasPrefix(c.name, "killed") { // what the agent has counts from a new process's first moment
+				kills[0] = begin()
+			}
+			since := served.Load()
+			time.Sleep(time.Until(told.Add(2 * grace))) // the rule is about time
+			require.Greater(t, served.Load(), since, "queries went on")
+			assert.Zero(t, came.between(told.Add(grace), time.Now()), "calls reached the leaving store")
+			d.Tell(true, in, standin.Entry("s-2", other, "in_service"))
+		})
+	}
+	t.Logf("%d queries answered, %d of them not served", served.Load(), odd.Load())
+	assert.Less(t, odd.Load(), served.Load()/20, "queries suffered")
+}
+
+func lookup(id string) []byte {
+	return httpwire.AppendRequest(nil, "POST", "/lookup", "test", httpwire.Header{{Name: "Request-Id", Value: id},
+		{Name: "Request-Timeout", Value: "2"}}, []byte(`{"slices":[{"slice":0,"mass":1}],"filter":"x"}`))
+}
+
+// drainLog reads a log to its end: a process whose log nobody reads comes to a stop.
+func drainLog(lines *bufio.Scanner) {
+	for lines.Scan() {
+	}
+}
--- a/httpwire/server.go
+++ b/httpwire/server.go
@@ -129,6 +129,13 @@
 	}
 }
 
+// Conns is how many connections are held, those being turned away included.
+func (s *Server) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) + s.extra
+}
+
 // Serve accepts connections until the listener closes.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
--- a/inifile/inifile.go
+++ b/inifile/inifile.go
@@ -17,8 +17,8 @@
 	"gopkg.in/ini.v1"
 )
 
-// MaxSize bounds a file, in bytes.
-const MaxSize = 256 << 10
+// MaxSize bounds a file, in bytes: 1,024 stores and 1,024 indices with half a KiB for each, and the comments between.
+const MaxSize = 1 << 20
 
 // Fault is one thing wrong with a file.
 type Fault struct {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -128,6 +128,13 @@
 	return sync.OnceFunc(func() { close(hold) })
 }
 
+// Conns is how many connections are open.
+func (s *Store) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 func (s *Store) now(slice string) (Fault, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -154,7 +161,16 @@
 			s.conns[c] = true
 			s.mu.Unlock()
 			go func() {
-				defer func() { c.Close(); s.Gone <- struct{}{} }()
+				defer func() {
+					c.Close()
+					s.mu.Lock()
+					delete(s.conns, c)
+					s.mu.Unlock()
+					select {
+					case s.Gone <- struct{}{}:
+					default: // nobody counts them
+					}
+				}()
 				speak(s, c)
 			}()
 		}
@@ -376,6 +392,13 @@
 	d.changed = make(chan struct{})
 }
 
+// Version is that of the newest news.
+func (d *Discovery) Version() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version
+}
+
 // Refuse has the next call answered with a status and no list; 0: with the list.
 func (d *Discovery) Refuse(status int) {
 	d.mu.Lock()
--- a/measure_test.go
+++ b/measure_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -22,6 +24,7 @@
 	"alderproxy/config"
 	"alderproxy/document"
 	"alderproxy/group"
+	"alderproxy/internal/standin"
 )
 
 func quantiles(t *testing.T, all []time.Duration) (median, p99, most time.Duration) {
@@ -309,3 +312,50 @@
 	require.Empty(t, sum.bad, "none may serve a replaced version beyond the bound of 3 s")
 	t.Logf("%d queries to those that follow, %d refused", sum.asked, sum.refused)
 }
+
+// What one gatherer takes at so many stores: a process that has asked each of them, once idle and once while lists come.
+func TestMeasureStores(t *testing.T) {
+	for _, stores := range []int{16, 200, 1024} {
+		s := standin.NewFrameStore(t)
+		go func() {
+			for range s.Parts {
+			}
+		}()
+		d := standin.NewDiscovery(t)
+		var entries []string
+		for i := range stores {
+			entries = append(entries, standin.Entry(fmt.Sprintf("s-%08x", i), s, "in_service"))
+		}
+		d.Tell(true, entries...)
+		// The list is known at the start, so that its log lines come before anybody waits for the program.
+		c, _, cl, lines := running(t, strings.Replace(settings(d), `"settings"`, fmt.Sprintf(
+			`"limits":{"sockets":4096,"memory_mb":192},"known":{"version":1,"full":true,"servers":[%s]},"settings"`, strings.Join(entries, ",")), 1))
+		go drainLog(lines)
+		listed := func() string {
+			status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.Process.Pid))
+			require.NoError(t, err)
+			fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", c.Process.Pid))
+			require.NoError(t, err)
+			rss := regexp.MustCompile(`VmRSS:\s+(\d+)`).FindSubmatch(status)
+			threads := regexp.MustCompile(`Threads:\s+(\d+)`).FindSubmatch(status)
+			return fmt.Sprintf("%s KB resident, %s threads, %d descriptors", rss[1], threads[1], len(fds))
+		}
+		t.Logf("%4d stores, just listed: %s", stores, listed())
+		for i := range 6 * stores {
+			ask(cl, fmt.Sprint("q", i))
+			require.Equal(t, 200, cl.Read().Status)
+		}
+		t.Logf("%4d stores, %d connections: %s", stores, s.Conns(), listed())
+		began := time.Now()
+		const lists = 50
+		for range lists {
+			d.Tell(true, entries...)
+			for target := ""; !strings.HasPrefix(target, fmt.Sprintf("/v1/servers?from=%d&", d.Version())); {
+				target = <-d.Targets
+			}
+		}
+		t.Logf("%4d stores, a whole list from discovery's word to the next call: %v", stores, time.Since(began)/lists)
+		require.NoError(t, c.Process.Kill())
+		c.Wait()
+	}
+}
--- a/membership/share.go
+++ b/membership/share.go
@@ -1,7 +1,8 @@
 package membership
 
-// MostMembers is how many a fleet may have for all shares that are drawn from its views to hold.
-const MostMembers = 1000
+// MostMembers is how many a fleet may have for all shares that are drawn from its views to hold. More are not refused:
+// it is what a newcomer counts on before its view is settled.
+const MostMembers = 1024
 
 // Share is this member's place among those that share what the stores bear, and how many these are. It rests on one
 // rule: all members' shares together are never more than one whole. So whoever is known and has not left as planned
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -139,3 +139,29 @@
 		}
 	})
 }
+
+// A fleet's thousand that follow may all have one voter left, and what the few say must still come through.
+func TestThousandFollowersLeaveRoomForTheFew(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	n := Listen(Config{ID: "v", Group: func() string { return "g" }, Log: standin.Log(),
+		Guest: func(id string) bool { return strings.HasPrefix(id, "f") }}, l, map[byte]Handler{
+		kindEcho: func(string, []byte, io.Reader) ([]byte, error) { return nil, nil }})
+	t.Cleanup(n.Close)
+	to := Target{"v", n.Addr()}
+	ask := func(id string) error {
+		f := New(Config{ID: id, Group: func() string { return "g" }, Log: standin.Log()})
+		t.Cleanup(f.Close)
+		_, err := f.Call(to, kindEcho, nil, nil, 10*time.Second)
+		return err
+	}
+	for i := range 1024 {
+		require.NoError(t, ask(fmt.Sprint("f", i)))
+	}
+	n.mu.Lock()
+	assert.Equal(t, 1024, n.guests)
+	n.guests = maxGuests // as if each had its second connection
+	n.mu.Unlock()
+	assert.Error(t, ask("f-one-more"))
+	assert.NoError(t, ask("w"))
+}
--- a/storepool/conn.go
+++ b/storepool/conn.go
@@ -31,10 +31,11 @@
 	pool   *Pool
 	to     Store
 	opened time.Time
-	out    chan item
+	wake   chan struct{} // has something once there is something to write
 	gone   chan struct{} // closed with the connection
 
 	mu     sync.Mutex
+	out    []item // to be written
 	nc     net.Conn
 	err    error // why it was closed; nil while open
 	last   bool  // nothing new may be put on it
@@ -53,12 +54,41 @@
 	written bool // its frame is out whole: from then on it may have run
 }
 
+// mostOut bounds what waits to be written on one connection: its calls, and as many words about given up ones again.
+func (c *conn) mostOut() int { return 4*c.pool.limits.Streams + 16 }
+
+// put has an item written, unless the other side does not read and too much waits already. The lock is held.
+func (c *conn) put(it item) bool {
+	if len(c.out) >= c.mostOut() {
+		return false
+	}
+	c.out = append(c.out, it)
+	select {
+	case c.wake <- struct{}{}:
+	default: // the writer is still to look
+	}
+	return true
+}
+
+// pop takes off the next item to write.
+func (c *conn) pop() (it item, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.out) == 0 {
+		c.out = nil // what a burst took is given back
+		return it, false
+	}
+	it, c.out[0] = c.out[0], item{}
+	c.out = c.out[1:]
+	return it, true
+}
+
 // maxStale bounds the ids remembered for one connection. A connection that has more takes nothing new.
 const maxStale = 512
 
 func newConn(p *Pool, to Store) *conn {
 	now := time.Now()
-	return &conn{pool: p, to: to, opened: now, used: now, out: make(chan item, 4*p.limits.Streams+16),
+	return &conn{pool: p, to: to, opened: now, used: now, wake: make(chan struct{}, 1),
 		gone: make(chan struct{}), calls: map[string]*sent{}, stale: map[string]bool{}}
 }
 
@@ -91,17 +121,15 @@
 			return false
 		}
 	}
-	select {
-	case c.out <- it:
-		c.used = time.Now()
-		c.busy += len(it.call)
-		for _, a := range it.call {
-			c.calls[PartID(a)] = &sent{Attempt: a}
-		}
-		return true
-	default:
+	if !c.put(it) {
 		return false
 	}
+	c.used = time.Now()
+	c.busy += len(it.call)
+	for _, a := range it.call {
+		c.calls[PartID(a)] = &sent{Attempt: a}
+	}
+	return true
 }
 
 // giveUp tells the store that nobody waits for an attempt, if it is on this connection.
@@ -129,10 +157,7 @@
 		go c.close(errClosed) // not from here: other attempts' ends may wait for the owner
 		return true
 	}
-	select {
-	case c.out <- item{giveUp: id}:
-	default: // a peer that does not read: the word is lost, as it would be on the way
-	}
+	c.put(item{giveUp: id}) // to a peer that does not read the word is lost, as it would be on the way
 	return true
 }
 
@@ -180,6 +205,13 @@
 	}
 }
 
+// idleSince is when an idle connection was last used; not ok where it is not idle.
+func (c *conn) idleSince() (at time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used, c.err == nil && !c.last && c.nc != nil && c.busy+len(c.out)+len(c.probes) == 0
+}
+
 // closeIfIdle closes the connection if nothing is out on it and it was not used for that long.
 func (c *conn) closeIfIdle(unused time.Duration) {
 	c.mu.Lock()
@@ -221,7 +253,12 @@
 		delete(c.calls, id)
 	}
 	probes := c.probes
-	c.probes = nil
+	for _, it := range c.out {
+		if it.probe != nil {
+			probes = append(probes, it.probe)
+		}
+	}
+	c.probes, c.out = nil, nil
 	c.mu.Unlock()
 	ours := errors.Is(why, errIdle) || errors.Is(why, errClosed)
 	c.pool.forget(c, len(over) > 0 && !ours)
@@ -238,16 +275,6 @@
 	for _, p := range probes {
 		p.end(broker.Outcome{Status: status, Report: policy.NoReport})
 	}
-	for {
-		select {
-		case it := <-c.out:
-			if it.probe != nil {
-				it.probe.end(broker.Outcome{Status: status, Report: policy.NoReport})
-			}
-		default:
-			return
-		}
-	}
 }
 
 func (c *conn) run() {
@@ -267,14 +294,18 @@
 	go c.read(nc)
 	var buf []byte
 	for {
-		select {
-		case <-c.gone:
-			return
-		case it := <-c.out:
-			if buf, err = c.write(nc, it, buf[:0]); err != nil {
-				c.close(fmt.Errorf("write: %w", err))
+		it, ok := c.pop()
+		if !ok {
+			select {
+			case <-c.gone:
 				return
+			case <-c.wake:
 			}
+			continue
+		}
+		if buf, err = c.write(nc, it, buf[:0]); err != nil {
+			c.close(fmt.Errorf("write: %w", err))
+			return
 		}
 	}
 }
--- a/storepool/pool.go
+++ b/storepool/pool.go
@@ -78,12 +78,17 @@
 
 // Pool holds, for each store, the connections to it, opened as needed. It is a broker.Transport.
 type Pool struct {
+	// Room tells how many connections there may be now, to all stores together; nil: as many as are needed. Beyond it
+	// the idle ones that were used longest ago make room. It is set before the first Follow.
+	Room func() int
+
 	limits Limits
 	codec  Codec
 	log    *logrus.Entry
 
 	mu     sync.Mutex
 	stores map[uint32]*store
+	open   int // connections, those that are to end included
 	closed bool
 }
 
@@ -176,6 +181,13 @@
 	if st == nil || st.Presence != policy.Ready || p.closed {
 		return fmt.Errorf("store %d takes nothing new", server)
 	}
+	left := 1 // connections that may be opened
+	if p.Room != nil {
+		left = p.Room() - p.open
+	}
+	if left < 0 {
+		p.yield(nil)
+	}
 	want := sound
 	if it.call != nil && time.Since(st.broke) < apartFor {
 		want = apart
@@ -186,15 +198,40 @@
 	if p.limits.Conns > 0 && len(st.conns) >= p.limits.Conns {
 		return fmt.Errorf("store %s: all %d connections are busy", st.Name, len(st.conns))
 	}
+	if left <= 0 && !p.yield(st) {
+		return fmt.Errorf("store %s: no room for another connection beside %d", st.Name, p.open)
+	}
 	c := newConn(p, st.Store)
-	st.conns = append(st.conns, c)
 	if !c.push(it, anyRoom) {
 		return fmt.Errorf("store %s: call of %d parts is over the limit", st.Name, len(it.call))
 	}
+	st.conns = append(st.conns, c)
+	p.open++
 	go c.run()
 	return nil
 }
 
+// yield has the idle connection that was used longest ago end, except those to one store, and tells whether there is
+// one. The lock is held, so nothing is put on it meanwhile.
+func (p *Pool) yield(but *store) bool {
+	var oldest *conn
+	var since time.Time
+	for _, st := range p.stores {
+		if st == but {
+			continue
+		}
+		for _, c := range st.conns {
+			if at, idle := c.idleSince(); idle && (oldest == nil || at.Before(since)) {
+				oldest, since = c, at
+			}
+		}
+	}
+	if oldest != nil {
+		oldest.hangUp()
+	}
+	return oldest != nil
+}
+
 func (p *Pool) put(st *store, it item, want fit) bool {
 	return slices.ContainsFunc(st.conns, func(c *conn) bool { return c.push(it, want) })
 }
@@ -258,6 +295,7 @@
 func (p *Pool) forget(c *conn, broke bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.open--
 	st := p.stores[c.to.ID]
 	if st == nil {
 		return
