--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 
 # Long measurements, outside CI; figures and their machine stand in docs/measurements.
 measure:
-	go test -tags measure -count=1 -v -timeout 60m -run '^TestMeasure' . ./agreed ./group ./membership | grep -v '=== \|--- PASS'
+	go test -tags measure -count=1 -v -timeout 60m -run '^TestMeasure' . ./agreed ./group ./membership ./maintenance | grep -v '=== \|--- PASS'
 
 fuzz:
 	go test ./membership -run '^$$' -fuzz FuzzRead -fuzztime 20s
--- /dev/null
+++ b/maintenance/measure_test.go
@@ -0,0 +1,6 @@
+//go:build measure
+
+package maintenance
+
+// schedules are those of the long model check.
+const schedules = 200_000
