Begin no call in a process that stood still before discovery was asked again

Cause: of the ways by which something new reaches a leaving store, one was left: a process that is stopped through a drain wakes with its clients' queries and its own queue beside the agent's word, and which goes first is chance. Cleared: it is not the wait of a call, since an answer was there at the waking; nothing made the writers wait for it.

--- a/storepool/conn.go
+++ b/storepool/conn.go
@@ -83,6 +83,10 @@
 	return it, true
 }
 
+// staleLook is how often a connection looks whether the list may be gone by again: a new call to an agent takes about as
+// long.
+const staleLook = time.Millisecond
+
 // maxStale bounds the ids remembered for one connection. A connection that has more takes nothing new.
 const maxStale = 512
 
@@ -303,6 +307,13 @@
 			}
 			continue
 		}
+		for it.call != nil && c.pool.Stale != nil && c.pool.Stale() {
+			select {
+			case <-c.gone:
+				return
+			case <-time.After(staleLook):
+			}
+		}
 		if buf, err = c.write(nc, it, buf[:0]); err != nil {
 			c.close(fmt.Errorf("write: %w", err))
 			return
--- a/storepool/pool.go
+++ b/storepool/pool.go
@@ -81,6 +81,9 @@
 	// Room tells how many connections there may be now, to all stores together; nil: as many as are needed. Beyond it
 	// the idle ones that were used longest ago make room. It is set before the first Follow.
 	Room func() int
+	// Stale tells that the list may not be gone by now: calls wait, within their time. nil: it always may. It is set
+	// before the first Follow.
+	Stale func() bool
 
 	limits Limits
 	codec  Codec
