End client connections in order, and answer what came before their end

Change: a connection that is to end has its own goroutine take a last look of 20 ms, from when it is scheduled; what came by then is answered as the last, new connections are told 503, others end by CloseWrite and reading on. At most an eighth of the bound are at that at once. Up to 16 KiB sent ahead stay requests; beyond, the open request's answer is the last. Wait waits until Wake is through. Serve takes what waits to be accepted before it ends.

--- a/httpwire/server.go
+++ b/httpwire/server.go
@@ -35,7 +35,7 @@
 
 	mu       sync.Mutex
 	conns    map[*Exchange]struct{}
-	extra    int // connections being turned away
+	extra    int // connections being turned away, and those that yield
 	idles    int // of conns, those between requests
 	warned   time.Time
 	listener net.Listener
@@ -84,8 +84,10 @@
 	began   time.Time // when the client connected
 	state   state     // guarded by the server's lock, as are the next two
 	since   time.Time // when it came into that state
-	yielded bool
+	yielded bool      // it makes room for others: what it is at is its last request
+	ends    bool      // its time is up, and what it is at came in the last look. Its goroutine's
 	wake    chan struct{}
+	woken   chan struct{} // closed once Wake leaves the connection's deadline alone
 	once    *sync.Once
 }
 
@@ -93,33 +95,46 @@
 func (x *Exchange) Wake() {
 	x.once.Do(func() {
 		close(x.wake)
-		x.nc.SetReadDeadline(time.Unix(1, 0))
+		x.nc.SetReadDeadline(longAgo)
+		close(x.woken)
 	})
 }
 
 // Rearm readies the exchange for another Wait after one that Wake has ended.
-func (x *Exchange) Rearm() { x.wake, x.once = make(chan struct{}), &sync.Once{} }
+func (x *Exchange) Rearm() {
+	x.wake, x.woken, x.once = make(chan struct{}), make(chan struct{}), &sync.Once{}
+}
+
+// mostAhead is how much a client may send ahead of the answer to its open request and still have it read as requests.
+const mostAhead = 16 << 10
 
 // Wait returns false once Wake was called, or true when the client has left before.
 func (x *Exchange) Wait() (gone bool) {
 	for {
 		x.nc.SetReadDeadline(time.Now().Add(time.Minute))
 		select {
-		case <-x.wake: // Wake's deadline may have come before ours
+		case <-x.wake: // Wake's deadline may have come before ours, or be still to come
+			<-x.woken
 			return false
 		default:
 		}
 		// Bytes sent ahead must not hide that the client leaves behind them: look past what is there already.
 		_, err := x.r.Peek(x.r.Buffered() + 1)
-		if errors.Is(err, bufio.ErrBufferFull) { // so much ahead that its leaving can't be seen
-			<-x.wake
-			return false
-		}
-		if err == nil {
+		switch {
+		case err == nil:
+			continue
+		case errors.Is(err, bufio.ErrBufferFull) && x.r.Size() < mostAhead:
+			x.r = bufio.NewReaderSize(x.r, mostAhead)
+			continue
+		case errors.Is(err, bufio.ErrBufferFull): // no requests any more: the connection ends with the open one's answer
+			x.Close = true
+			x.r.Discard(x.r.Buffered())
+			time.Sleep(lingerEvery) // a flood leaves the core to others
 			continue
 		}
 		select {
 		case <-x.wake:
+			<-x.woken
 			return false
 		default:
 		}
@@ -129,21 +144,34 @@
 	}
 }
 
-// Conns is how many connections are held, those being turned away included.
+// Conns is how many connections are held, those that are about to end included.
 func (s *Server) Conns() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.conns) + s.extra
 }
 
-// Serve accepts connections until the listener closes.
+// Serve accepts connections until the listener or the server closes, and then closes the listener.
 func (s *Server) Serve(l net.Listener) error {
+	defer l.Close()
 	s.mu.Lock()
+	if s.closed.Load() {
+		s.mu.Unlock()
+		return nil
+	}
 	s.listener, s.conns = l, map[*Exchange]struct{}{}
+	s.active.Add(1)
+	defer s.active.Done()
 	s.mu.Unlock()
+	looked := false
 	for {
 		nc, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if closed := errors.Is(err, os.ErrDeadlineExceeded) && s.closed.Load(); closed && !looked {
+			// What the machine has accepted and we have not: to close on it would reset it, with its request.
+			looked = true
+			l.(deadliner).SetDeadline(time.Now().Add(lastLook))
+			continue
+		} else if closed || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
@@ -185,14 +213,19 @@
 				defer s.active.Done()
 				s.serve(x)
 				s.mu.Lock()
-				s.forget(x)
+				if s.forget(x); x.yielded {
+					s.extra--
+				}
 				s.mu.Unlock()
 			}()
 		}
 	}
 }
 
-var errTooMany = errors.New("too many connections")
+var (
+	errTooMany = errors.New("too many connections")
+	errEnding  = errors.New("the connection ends")
+)
 
 // warn logs what any client can cause, once a second at most. The lock is held.
 func (s *Server) warn(what string, err error) {
@@ -233,12 +266,24 @@
 	return len(s.conns) < bound
 }
 
-// yield ends a connection, if any, from another one's goroutine. The lock is held, here and in the next two.
+// yield has a connection, if any, make room, from another one's goroutine. Its own has a last look: a request that is
+// there already is answered, and to close on what was not read would reset the connection, and with it an answer that is
+// still on its way. Where too many are at that, it is closed at once. The lock is held, here and in the next two.
 func (s *Server) yield(x *Exchange) {
-	if x != nil {
-		x.yielded = true
+	if x == nil {
+		return
+	}
+	s.forget(x)
+	if s.MaxConns > 0 && s.extra >= max(1, s.MaxConns/8) {
 		x.nc.Close()
-		s.forget(x)
+		return
+	}
+	x.yielded = true
+	s.extra++
+	if x.state == reading {
+		x.nc.SetReadDeadline(time.Now().Add(lastLook))
+	} else {
+		x.nc.SetReadDeadline(longAgo)
 	}
 }
 
@@ -277,12 +322,18 @@
 	s.yield(oldest)
 }
 
-// enter notes what a connection is at now. False: it has yielded and is closed.
-func (s *Server) enter(x *Exchange, st state) bool {
+// enter notes what a connection is at now.
+func (s *Server) enter(x *Exchange, st state) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.set(x, st)
-	return !x.yielded
+}
+
+// last tells that a connection ends with the answer to its open request.
+func (s *Server) last(x *Exchange) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return x.Close || x.ends || x.yielded || s.leaving.Load()
 }
 
 // Leave makes every answer the last on its connection.
@@ -290,22 +341,29 @@
 
 // Close stops listening and ends each connection as soon as it is idle. Wait waits for that.
 func (s *Server) Close() {
-	s.leaving.Store(true)
-	s.closed.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.listener != nil {
+	s.leaving.Store(true)
+	s.closed.Store(true)
+	if l, ok := s.listener.(deadliner); ok {
+		l.SetDeadline(longAgo) // Serve has a last look
+	} else if s.listener != nil {
 		s.listener.Close()
 	}
 	for x := range s.conns {
 		if x.state == idle || x.state == silent {
-			x.nc.SetReadDeadline(time.Now().Add(lastLook))
+			x.nc.SetReadDeadline(longAgo)
 		}
 	}
 }
 
-// lastLook is how long a connection about to be closed is still read: a request whose bytes are there already is
-// served, since to close on it would make its client send it again.
+type deadliner interface{ SetDeadline(time.Time) error }
+
+// longAgo as a deadline ends a wait at once.
+var longAgo = time.Unix(1, 0)
+
+// lastLook is how long a connection about to be closed is still read, from when its goroutine comes to that: a request
+// whose bytes are there already was taken, and is answered.
 const lastLook = 20 * time.Millisecond
 
 // Wait returns once every connection has ended, or after limit.
@@ -328,7 +386,7 @@
 }
 
 // await waits for the first byte of a request and sets the time by which the request must be in. False: the
-// connection is to end.
+// connection is to end, and nothing that comes on it is a request any more.
 func (s *Server) await(x *Exchange) bool {
 	s.mu.Lock()
 	first, until := x.state == silent, after(s.IdleLimit, idleLimit)
@@ -337,18 +395,40 @@
 	} else {
 		s.rest(x)
 	}
-	if s.closed.Load() {
-		until = time.Now().Add(lastLook)
+	if s.closed.Load() || x.yielded {
+		until = longAgo
 	}
 	x.nc.SetReadDeadline(until)
 	s.mu.Unlock()
-	if _, err := x.r.Peek(1); err != nil || !s.enter(x, reading) {
-		return false
+	_, err := x.r.Peek(1)
+	if x.ends = errors.Is(err, os.ErrDeadlineExceeded); x.ends {
+		x.nc.SetReadDeadline(time.Now().Add(lastLook))
+		_, err = x.r.Peek(1)
 	}
-	if !first || s.closed.Load() {
-		x.nc.SetReadDeadline(after(s.ReadLimit, readLimit))
+	s.mu.Lock()
+	ours := s.closed.Load() || x.yielded // we end it, whatever it was at
+	if err == nil {
+		s.set(x, reading)
+		switch {
+		case x.yielded:
+			x.nc.SetReadDeadline(time.Now().Add(lastLook))
+		case !first || ours:
+			x.nc.SetReadDeadline(after(s.ReadLimit, readLimit))
+		}
+	} else {
+		s.set(x, ending)
+	}
+	s.mu.Unlock()
+	switch {
+	case err == nil:
+		return true
+	case !errors.Is(err, os.ErrDeadlineExceeded): // the client has closed it
+	case first && ours: // a first request may be on its way, and is owed an answer
+		s.end(x, s.refusal(503, errEnding))
+	default:
+		linger(x)
 	}
-	return true
+	return false
 }
 
 func (s *Server) serve(x *Exchange) {
@@ -358,28 +438,26 @@
 		x.Rearm()
 		var err error
 		if x.Request, err = ReadRequest(x.r); err != nil {
-			if status := StatusOf(err); status != 0 && s.enter(x, ending) {
+			if status := StatusOf(err); status != 0 {
+				s.enter(x, ending)
 				s.end(x, s.refusal(status, err))
 			}
 			return
 		}
-		if !s.enter(x, open) {
-			return
-		}
+		s.enter(x, open)
 		reply := s.handle(x)
 		if reply == nil {
 			return
 		}
-		closing := x.Close || s.leaving.Load()
+		closing := s.last(x)
 		out := AppendResponse(nil, reply.Status, reply.Header, reply.Body, closing)
 		x.nc.SetWriteDeadline(after(s.WriteLimit, writeLimit))
 		if _, err := x.nc.Write(out); err != nil {
 			return
 		}
 		if closing {
-			if s.enter(x, ending) {
-				linger(x)
-			}
+			s.enter(x, ending)
+			linger(x)
 			return
 		}
 	}
@@ -422,17 +500,17 @@
 	lingerEvery = 2 * time.Millisecond
 )
 
-// linger lets the client read a last answer: to close on bytes that were not read would reset the connection
-// and could take the answer with it.
+// linger ends our side of a connection and reads on until the client has ended its own: to close on bytes that were not
+// read would reset the connection, and could take with it an answer that the client has yet to read. What comes now is
+// passed over: it could not be answered any more.
 func linger(x *Exchange) {
-	tcp, ok := x.nc.(*net.TCPConn)
+	tcp, ok := x.nc.(interface{ CloseWrite() error })
 	if !ok || tcp.CloseWrite() != nil {
 		return
 	}
 	until := time.Now().Add(lingerFor)
 	for now := time.Now(); now.Before(until); now = time.Now() {
 		x.nc.SetReadDeadline(now.Add(lingerPause))
-		// What comes now is of no matter.
 		if n, err := io.CopyN(io.Discard, x.r, lingerPiece); err != nil || n == 0 {
 			return
 		}
--- a/httpwire/server_test.go
+++ b/httpwire/server_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -144,3 +145,281 @@
 	require.NoError(t, err)
 	assert.Equal(t, 413, c.Read().Status)
 }
+
+// gated is a connection of the server's with hooks before and after what the server does to it.
+type gated struct {
+	*net.TCPConn
+	*hooks
+}
+
+// hooks tell of calls on a connection, and hold them up. Each may be nil.
+type hooks struct {
+	deadline func(at time.Time, set func()) // around SetReadDeadline
+	read     func()                         // before Read
+	end      func()                         // before CloseWrite or Close, whichever comes first
+	once     sync.Once
+}
+
+func (g gated) SetReadDeadline(at time.Time) error {
+	if g.deadline == nil {
+		return g.TCPConn.SetReadDeadline(at)
+	}
+	g.deadline(at, func() { g.TCPConn.SetReadDeadline(at) })
+	return nil
+}
+
+func (g gated) Read(b []byte) (int, error) {
+	if g.read != nil {
+		g.read()
+	}
+	return g.TCPConn.Read(b)
+}
+
+func (g gated) CloseWrite() error { g.ending(); return g.TCPConn.CloseWrite() }
+func (g gated) Close() error      { g.ending(); return g.TCPConn.Close() }
+func (g gated) ending() {
+	if g.end != nil {
+		g.once.Do(g.end)
+	}
+}
+
+// gate is a listener whose connections have hooks, the first of them its own.
+type gate struct {
+	*net.TCPListener
+	accept func() // before Accept
+	first  *hooks
+}
+
+func (g *gate) Accept() (net.Conn, error) {
+	if g.accept != nil {
+		g.accept()
+	}
+	c, err := g.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	h := g.first
+	if g.first = nil; h == nil {
+		h = &hooks{}
+	}
+	return gated{c.(*net.TCPConn), h}, nil
+}
+
+func newGate(t *testing.T, first *hooks) *gate {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return &gate{TCPListener: l.(*net.TCPListener), first: first}
+}
+
+// However much a client sends ahead, its leaving is seen; requests sent ahead are answered up to a bound, beyond it the
+// connection ends with the answer.
+func TestClientThatSentMuchAheadIsSeenToLeave(t *testing.T) {
+	for _, ahead := range []int{0, 3 << 10, 6 << 10, 15 << 10, 40 << 10, 1 << 20} {
+		addr, release, gone := serving(t, &httpwire.Server{})
+		defer close(release)
+		c := standin.Dial(t, addr)
+		c.Send("GET", "/wait", "")
+		<-gone // it is open
+		_, err := c.Write([]byte(strings.Repeat("x", ahead)))
+		require.NoError(t, err)
+		c.Close()
+		select {
+		case left := <-gone:
+			assert.True(t, left, ahead)
+		case <-time.After(5 * time.Second):
+			assert.Fail(t, "not seen", ahead)
+		}
+	}
+	for ahead, last := range map[int]bool{6 << 10: false, 200 << 10: true} {
+		addr, release, gone := serving(t, &httpwire.Server{})
+		c := standin.Dial(t, addr)
+		c.Send("GET", "/wait", "")
+		<-gone
+		for n := 0; n < ahead; n += 1 << 10 {
+			c.Send("GET", "/"+strings.Repeat("x", 1<<10), "")
+		}
+		time.AfterFunc(50*time.Millisecond, func() { close(release) }) // when does not matter to the outcome
+		for n := 0; n <= ahead; n += 1 << 10 {
+			resp := c.Read()
+			assert.Equal(t, 200, resp.Status)
+			if assert.Equal(t, last, resp.Close, ahead); last {
+				break
+			}
+		}
+	}
+}
+
+// The answer may be there before the wait for it begins. The deadline that ends a wait must then not strike the next
+// request on the connection.
+func TestWakeStrikesNoLaterRequest(t *testing.T) {
+	waking, rested, struck := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	waits, awake, strike := 0, sync.OnceFunc(func() { close(waking) }), sync.OnceFunc(func() { close(struck) })
+	g := newGate(t, &hooks{deadline: func(at time.Time, set func()) {
+		switch far := time.Until(at); {
+		case far < -time.Hour: // Wake ends the wait
+			awake()
+			select {
+			case <-rested: // the next request is awaited already
+			case <-time.After(100 * time.Millisecond): // it is not, until this has struck
+			}
+			set()
+			strike()
+		case far > 50*time.Second && far <= time.Minute: // the handler waits, or the connection rests
+			if waits++; waits == 1 {
+				<-waking
+			}
+			if set(); waits == 2 {
+				close(rested)
+			}
+		default:
+			set()
+		}
+	}})
+	release := make(chan struct{})
+	s := &httpwire.Server{Log: standin.Log(), FirstLimit: 5 * time.Second, Handle: func(x *httpwire.Exchange) *httpwire.Reply {
+		if x.Path() == "/wait" {
+			go func() { <-release; x.Wake() }()
+			x.Wait()
+		}
+		return &httpwire.Reply{Status: 200}
+	}}
+	go s.Serve(g)
+	t.Cleanup(s.Close)
+	c := standin.Dial(t, g.Addr().String())
+	close(release)
+	assert.Equal(t, 200, status(c, "/wait"))
+	<-struck
+	c.Send("GET", "/", "")
+	assert.False(t, c.Read().Close, "it struck the connection at rest")
+}
+
+// A connection yields, or the server closes, in the moment in which a whole request has come that was not read yet. It
+// was taken: it is answered, as the connection's last.
+func TestRequestThatCameBeforeTheEndIsAnswered(t *testing.T) {
+	for name, c := range map[string]struct {
+		first bool // request of the connection
+		end   func(*httpwire.Server, string, *testing.T)
+	}{
+		"closes, resting":   {false, func(s *httpwire.Server, _ string, _ *testing.T) { s.Close() }},
+		"closes, new":       {true, func(s *httpwire.Server, _ string, _ *testing.T) { s.Close() }},
+		"yields, resting":   {false, func(_ *httpwire.Server, addr string, t *testing.T) { status(standin.Dial(t, addr), "/") }},
+		"too many, resting": {false, func(_ *httpwire.Server, addr string, t *testing.T) { status(standin.Dial(t, addr), "/") }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			hold, reached := make(chan struct{}), make(chan struct{}, 64)
+			reads, told := 0, make(chan struct{})
+			tell := sync.OnceFunc(func() { close(told) })
+			h := &hooks{end: tell, deadline: func(at time.Time, set func()) {
+				if set(); time.Until(at) < -time.Hour {
+					tell()
+				}
+			}}
+			h.read = func() {
+				if reads++; reads == 2 || c.first {
+					reached <- struct{}{}
+					<-hold
+				}
+			}
+			g := newGate(t, h)
+			s := &httpwire.Server{Log: standin.Log(), MaxConns: 16, Handle: func(*httpwire.Exchange) *httpwire.Reply {
+				return &httpwire.Reply{Status: 200}
+			}}
+			switch {
+			case strings.HasPrefix(name, "yields"):
+				s.MaxConns = 1
+			case strings.HasPrefix(name, "too many"):
+				s.MaxIdle = 1
+			}
+			go s.Serve(g)
+			t.Cleanup(s.Close)
+			cl := standin.Dial(t, g.Addr().String())
+			if !c.first {
+				require.Equal(t, 200, status(cl, "/"))
+			}
+			<-reached
+			cl.Send("GET", "/", "")
+			c.end(s, g.Addr().String(), t)
+			select {
+			case <-told:
+			case <-time.After(5 * time.Second):
+			}
+			close(hold)
+			resp := cl.Read()
+			assert.Equal(t, 200, resp.Status)
+			assert.True(t, resp.Close)
+		})
+	}
+}
+
+// The system has accepted a connection, with its request, that the server has not when it closes.
+func TestConnectionThatWaitsToBeAcceptedIsServed(t *testing.T) {
+	hold := make(chan struct{})
+	g := newGate(t, nil)
+	g.accept = func() { <-hold }
+	s := &httpwire.Server{Log: standin.Log(), Handle: func(*httpwire.Exchange) *httpwire.Reply { return &httpwire.Reply{Status: 200} }}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(g) }()
+	hold <- struct{}{} // it serves, and accepts no more
+	first := standin.Dial(t, g.Addr().String())
+	require.Eventually(t, func() bool {
+		select {
+		case hold <- struct{}{}:
+			return true
+		default:
+			return false
+		}
+	}, 5*time.Second, time.Millisecond)
+	require.Equal(t, 200, status(first, "/"))
+	var late []*standin.Client
+	for range 3 {
+		c := standin.Dial(t, g.Addr().String())
+		c.Send("GET", "/", "")
+		late = append(late, c)
+	}
+	s.Close()
+	close(hold)
+	for _, c := range late {
+		assert.Equal(t, 200, c.Read().Status)
+	}
+	assert.NoError(t, <-done)
+	assert.True(t, s.Wait(5*time.Second))
+}
+
+// A request that comes in the very moment of the end is not answered and not passed on, and its client can tell: the
+// connection ends in order, where a close over what was not read would reset it.
+func TestRequestThatCrossesTheEndIsNotServed(t *testing.T) {
+	for name, s := range map[string]*httpwire.Server{
+		"idle for long": {IdleLimit: 30 * time.Millisecond}, "closes": {}, "yields": {MaxIdle: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var cl *standin.Client
+			resting := make(chan struct{})
+			rests := sync.OnceFunc(func() { close(resting) })
+			h := &hooks{end: func() { cl.Send("GET", "/late", "") }, deadline: func(at time.Time, set func()) {
+				if set(); time.Until(at) > 20*time.Second { // the last to be set before it rests
+					rests()
+				}
+			}}
+			g := newGate(t, h)
+			served := make(chan string, 16)
+			s.Log = standin.Log()
+			s.Handle = func(x *httpwire.Exchange) *httpwire.Reply { served <- x.Path(); return &httpwire.Reply{Status: 200} }
+			go s.Serve(g)
+			t.Cleanup(s.Close)
+			cl = standin.Dial(t, g.Addr().String())
+			require.Equal(t, 200, status(cl, "/"))
+			switch name {
+			case "closes":
+				s.Close()
+			case "yields":
+				<-resting // else the second one may rest before it
+				require.Equal(t, 200, status(standin.Dial(t, g.Addr().String()), "/"))
+				<-served
+			}
+			_, err := cl.R.Peek(1)
+			assert.ErrorIs(t, err, io.EOF)
+			assert.Equal(t, "/", <-served)
+			assert.Empty(t, served)
+		})
+	}
+}
