Begin nothing for a client that left, and no keyed repeat after its window

Change: Broker.Cancel marks the query itself, and Attempt.Begin looks at the mark and at RepeatBy; forget takes back what was not begun (Revoke, which takes the place of drop and Dropped); what the writer may not write ends as moot. Gone is now Cancel. Pool.DialBy lets tests hold a connection back.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -39,6 +39,8 @@
 	Sink     Sink
 	Meta     any    // the front's own, for its transport
 	Terms    *Terms // by which it was read; nil: by whatever stands when it is taken
+
+	canceled atomic.Bool // its client has left: seen wherever an attempt waits, before the owner comes to it
 }
 
 // Terms are what queries are served by. Once they are handed in, none of it may change.
@@ -111,6 +113,9 @@
 	Slice  int
 	Server uint32
 	Until  time.Time // nobody waits any longer then
+	// RepeatBy is when the attempt must have been written at the latest: an earlier one of a keyed part may have run, and
+	// stores drop repeats for a while only. Zero: it is no such repeat.
+	RepeatBy time.Time
 
 	broker *Broker
 	part   *part
@@ -125,18 +130,23 @@
 const (
 	queued int32 = iota
 	begun
-	dropped
+	revoked
 )
 
-// Begin is called before the first byte is written. False means that the attempt was given up: it must not be
-// written. What was not begun has never run, whatever becomes of it.
-func (a *Attempt) Begin() bool { return a.state.CompareAndSwap(queued, begun) }
-
-// drop ends an attempt for good and tells whether that was before it was begun.
-func (a *Attempt) drop() (never bool) { return a.state.CompareAndSwap(queued, dropped) }
+// Begin is called before the first byte is written. False means that it must not be written: it was given up, its
+// client has left, or it comes too late to be a repeat that the stores still drop. What was not begun has never run,
+// whatever becomes of it.
+func (a *Attempt) Begin() bool {
+	if a.Query.canceled.Load() || !a.RepeatBy.IsZero() && !time.Now().Before(a.RepeatBy) {
+		return false
+	}
+	return a.state.CompareAndSwap(queued, begun)
+}
 
-// Dropped tells that the attempt was given up before it was begun.
-func (a *Attempt) Dropped() bool { return a.state.Load() == dropped }
+// Revoke takes an attempt back for good and tells whether it has never run: whether it had not been begun.
+func (a *Attempt) Revoke() (never bool) {
+	return a.state.CompareAndSwap(queued, revoked) || a.state.Load() == revoked
+}
 
 // Finish hands in the attempt's outcome. Only the first counts.
 func (a *Attempt) Finish(o Outcome) { a.broker.post(finished{a, o}) }
@@ -208,7 +218,7 @@
 		at     time.Time
 		o      Outcome
 	}
-	gone    struct{ q *Query }
+	cancel  struct{ q *Query }
 	members struct{ servers []policy.Server }
 	change  struct{ terms *Terms }
 	drain   struct{ cutoff time.Time }
@@ -278,8 +288,12 @@
 // Submit hands in a query. Its Sink gets exactly one final answer, unless the broker was closed.
 func (b *Broker) Submit(q *Query) bool { return b.post(q) }
 
-// Gone tells that the client of a query left. A final answer may still come if it was on its way.
-func (b *Broker) Gone(q *Query) { b.post(gone{q}) }
+// Cancel tells that the client of a query left: no attempt of it begins any more, however long the owner's queue is.
+// A final answer may still come if it was on its way.
+func (b *Broker) Cancel(q *Query) {
+	q.canceled.Store(true)
+	b.post(cancel{q})
+}
 
 // Members hands in the whole server list as it now is.
 func (b *Broker) Members(servers []policy.Server) { b.post(members{servers}) }
@@ -354,10 +368,10 @@
 	switch it := item.(type) {
 	case *Query:
 		b.takeQuery(it, now)
-	case gone:
+	case cancel:
 		if q := b.byQuery[it.q]; q != nil {
 			b.tell(policy.ClientGone{Query: q.id})
-			b.forget(q)
+			b.forget(q, now)
 		}
 	case finished:
 		b.outcome(it.a, it.o, now)
@@ -379,6 +393,9 @@
 }
 
 func (b *Broker) takeQuery(spec *Query, now time.Time) {
+	if spec.canceled.Load() {
+		return // nobody waits for an answer
+	}
 	advice := time.Duration(0)
 	if b.set.MayAdvise {
 		advice = span(b.set.MaxAdvice)
@@ -425,11 +442,11 @@
 		b.tell(policy.Part{ID: p.id, Number: q.id, Shard: s.Slice, Key: s.Key, Weight: s.Weight, Hint: s.Hint})
 	}
 	// The module ends every query in time. Should it ever not, the client still gets its one answer.
-	q.timer = b.timers.add(spec.Deadline.Add(-time.Millisecond), func(time.Time) { b.giveUp(q) })
+	q.timer = b.timers.add(spec.Deadline.Add(-time.Millisecond), func(now time.Time) { b.giveUp(q, now) })
 }
 
 // giveUp ends a query for which the decisions have no more time.
-func (b *Broker) giveUp(q *query) {
+func (b *Broker) giveUp(q *query, now time.Time) {
 	if b.queries[q.id] != q {
 		return
 	}
@@ -443,30 +460,36 @@
 	}
 	b.log.WithFields(logrus.Fields{"query": q.ID, "refused": ending == Refused}).Warn("query cut off at its end of time")
 	b.tell(policy.ClientGone{Query: q.id})
-	b.forget(q)
+	b.forget(q, now)
 	q.Sink.Final(Answer{Ending: ending, Late: true, Version: q.version})
 }
 
 // cut ends what a drain finds open at its cutoff.
-func (b *Broker) cut(time.Time) {
+func (b *Broker) cut(now time.Time) {
 	open := make([]*query, 0, len(b.queries))
 	for _, q := range b.queries {
 		open = append(open, q)
 	}
 	slices.SortFunc(open, func(x, y *query) int { return int(int64(x.id) - int64(y.id)) })
 	for _, q := range open {
-		b.giveUp(q)
+		b.giveUp(q, now)
 	}
 }
 
-// forget takes a query that is over out of the tables. Its attempts stay until each has its outcome.
-func (b *Broker) forget(q *query) {
+// forget takes a query that is over out of the tables. Its attempts that wait to be written never are, whether the
+// settings allow to cancel others or not: nobody has seen them. The rest stay until each has its outcome.
+func (b *Broker) forget(q *query, now time.Time) {
 	delete(b.queries, q.id)
 	delete(b.byQuery, q.Query)
 	b.open -= 1 + len(q.parts)
 	b.timers.drop(q.timer)
 	for _, p := range q.parts {
 		p.value = nil // an attempt that is still out holds its part
+		for _, a := range p.tries {
+			if !a.over && a.Revoke() {
+				b.abandon(a, policy.Cancelled, now)
+			}
+		}
 		b.settle(p)
 	}
 }
@@ -499,7 +522,7 @@
 	if a.over {
 		return
 	}
-	if a.drop() && status == policy.TimedOut {
+	if a.Revoke() && status == policy.TimedOut {
 		status = policy.Unconnected // it was never written: it waited for a connection all the time
 	}
 	b.to.GiveUp(a)
@@ -540,11 +563,11 @@
 				b.abandon(p.tries[act.Try], policy.Cancelled, now)
 			}
 		case policy.Answer:
-			b.finish(act.Query, Answer{Ending: Served, Whole: act.Whole})
+			b.finish(act.Query, Answer{Ending: Served, Whole: act.Whole}, now)
 		case policy.Refuse:
-			b.finish(act.Query, Answer{Ending: Refused, ComeBack: span(act.ComeBack)})
+			b.finish(act.Query, Answer{Ending: Refused, ComeBack: span(act.ComeBack)}, now)
 		case policy.Fail:
-			b.finish(act.Query, Answer{Ending: Failed})
+			b.finish(act.Query, Answer{Ending: Failed}, now)
 		case policy.HangUp:
 			b.to.HangUp(act.Server)
 		case policy.Probe:
@@ -575,9 +598,10 @@
 	}
 	a := &Attempt{Query: p.q.Query, Slice: p.spec.Slice, Server: act.Server, Until: until,
 		broker: b, part: p, try: len(p.tries), sent: now}
+	a.RepeatBy = p.repeatBy()
 	p.tries = append(p.tries, a)
 	if b.queries[p.q.id] != p.q || !until.After(now) || b.set.MaxAttempts > 0 && a.try >= b.set.MaxAttempts {
-		a.drop()
+		a.Revoke()
 		b.outcome(a, Outcome{Status: policy.Moot, Report: policy.NoReport}, now)
 		return nil
 	}
@@ -585,6 +609,24 @@
 	return a
 }
 
+// repeatBy is when a further attempt must have been written, where what may have run is dropped by stores for a while
+// only; zero: at no time. It waits for connections meanwhile, so the decisions' own look at the window is not enough.
+func (p *part) repeatBy() (at time.Time) {
+	if p.q.cls.Effect != policy.Keyed {
+		return at
+	}
+	for _, a := range p.tries {
+		never := a.state.Load() == revoked || a.over && (a.ended == policy.Rejected || a.ended == policy.Unconnected || a.ended == policy.Moot)
+		if !never && (at.IsZero() || a.sent.Before(at)) {
+			at = a.sent
+		}
+	}
+	if !at.IsZero() {
+		at = at.Add(span(p.q.cls.Window))
+	}
+	return at
+}
+
 func (b *Broker) send(server uint32, call []*Attempt, now time.Time) {
 	err := b.to.Send(server, call)
 	if err == nil {
@@ -592,7 +634,7 @@
 	}
 	b.log.WithError(err).WithField("server", server).Warn("attempt not sent")
 	for _, a := range call {
-		a.drop()
+		a.Revoke()
 		b.outcome(a, Outcome{Status: policy.Unconnected, Report: policy.NoReport}, now)
 	}
 }
@@ -605,7 +647,7 @@
 }
 
 // finish gives a query its final answer.
-func (b *Broker) finish(id uint64, answer Answer) {
+func (b *Broker) finish(id uint64, answer Answer, now time.Time) {
 	q := b.queries[id]
 	if q == nil {
 		return
@@ -623,7 +665,7 @@
 		}
 		answer.Lost = slices.ContainsFunc(q.parts, vain)
 	}
-	b.forget(q)
+	b.forget(q, now)
 	answer.Version = q.version
 	q.Sink.Final(answer)
 }
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -17,9 +17,13 @@
 type transport struct {
 	sent, given chan *Attempt
 	refuse      error
+	sending     func(*Attempt) // called as a call is handed over
 }
 
 func (f *transport) Send(_ uint32, call []*Attempt) error {
+	if f.sending != nil {
+		f.sending(call[0])
+	}
 	if f.refuse != nil {
 		return f.refuse
 	}
@@ -105,7 +109,7 @@
 			require.True(t, a.Begin())
 		}
 		assert.Same(t, a, <-to.given)
-		assert.Equal(t, !begin, a.Dropped())
+		assert.Equal(t, !begin, a.Revoke())
 		assert.False(t, a.Begin(), "given up and written all the same")
 		answer := <-s
 		assert.Equal(t, want, answer.Ending)
@@ -126,7 +130,7 @@
 	b, to := start(t, settings(policy.Safe))
 	q, s := submit(b, time.Second)
 	a := <-to.sent
-	b.Gone(q)
+	b.Cancel(q)
 	assert.Same(t, a, <-to.given)
 	assert.Empty(t, s)
 }
@@ -242,3 +246,59 @@
 	served(a)
 	assert.Equal(t, Served, (<-open).Ending)
 }
+
+// A client leaves between the decision to send and the write, before the owner hears of it: nothing goes out. And what
+// waits to be written is taken back at once, whether the settings let attempts be cancelled at stores or not.
+func TestNothingIsBegunForAClientThatLeft(t *testing.T) {
+	for _, may := range []bool{true, false} {
+		set := settings(policy.Safe)
+		set.MayCancel = may
+		set.Classes[0].Aim, set.Classes[0].GiveUp = time.Hour.Microseconds(), time.Hour.Microseconds()
+		b, to := start(t, set)
+		var q *Query
+		to.sending = func(a *Attempt) {
+			b.Cancel(q)
+			assert.False(t, a.Begin(), "the owner has yet to hear of it")
+		}
+		s := make(sink, 8)
+		q = &Query{ID: "q", Deadline: time.Now().Add(time.Hour), Parts: []Part{{Weight: 1}}, Sink: s}
+		require.True(t, b.Submit(q))
+		a := <-to.sent
+		select {
+		case given := <-to.given:
+			assert.Same(t, a, given)
+		case <-time.After(5 * time.Second):
+			require.Fail(t, "its attempt is held", "may cancel: %v", may)
+		}
+		to.sending = nil
+		_, next := submit(b, time.Second)
+		served(<-to.sent)
+		<-next
+		assert.Empty(t, s)
+		b.Close()
+		assert.Empty(t, b.parts, "its attempt is held for good")
+	}
+}
+
+// A keyed part that may have run is sent again within the time in which stores drop repeats only: to decide so in time is
+// not enough, since an attempt may wait for its connection.
+func TestRepeatIsNotBegunAfterItsWindow(t *testing.T) {
+	for _, c := range []struct {
+		begun  bool
+		status policy.Status
+		late   bool // it may not be begun after the window
+	}{{true, policy.Broken, true}, {true, policy.Errored, true}, {true, policy.Rejected, false}, {false, policy.Unconnected, false}} {
+		set := settings(policy.Keyed)
+		set.Classes[0].Window = 100_000
+		b, to := start(t, set)
+		submit(b, 5*time.Second)
+		first := <-to.sent
+		if c.begun {
+			require.True(t, first.Begin())
+		}
+		first.Finish(Outcome{Status: c.status, Report: policy.NoReport})
+		second := <-to.sent
+		time.Sleep(time.Until(first.sent.Add(110 * time.Millisecond))) // the rule is about time
+		assert.Equal(t, !c.late, second.Begin(), c.status)
+	}
+}
--- a/opensearch/front.go
+++ b/opensearch/front.go
@@ -215,7 +215,7 @@
 		}
 		if x.Wait() {
 			for _, it := range out {
-				f.broker.Gone(it.query)
+				f.broker.Cancel(it.query)
 			}
 			return nil
 		}
--- a/opensearch/opensearch_test.go
+++ b/opensearch/opensearch_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -388,6 +389,29 @@
 	<-r.stores[0].Gone
 }
 
+// A client leaves while its searches wait for a connection to come up: they never go out.
+func TestSearchesOfAClientThatLeftDoNotGoOutOnALateConnection(t *testing.T) {
+	r := start(t, 1000)
+	began, hold := make(chan struct{}, 64), make(chan struct{})
+	r.pool.DialBy(func(addr string, limit time.Duration) (net.Conn, error) {
+		began <- struct{}{}
+		<-hold
+		return net.DialTimeout("tcp", addr, limit)
+	})
+	c := r.ask(t, "/_msearch", "{\"index\":\"catalogue\"}\n{\"size\":7}\n{\"index\":\"families\"}\n{\"size\":7}\n")
+	<-began
+	c.Close()
+	require.Eventually(t, func() bool { return r.server.Conns() == 0 }, 5*time.Second, time.Millisecond)
+	next := r.ask(t, "/catalogue/_search", `{"size":3}`)
+	close(hold)
+	assert.Equal(t, 200, next.Read().Status)
+	for _, s := range r.stores {
+		for len(s.Parts) > 0 {
+			assert.NotContains(t, <-s.Parts, `"size":7`)
+		}
+	}
+}
+
 func TestBadRequestsReachNoStore(t *testing.T) {
 	r := start(t, 1000)
 	for _, c := range []struct {
--- a/storepool/conn.go
+++ b/storepool/conn.go
@@ -147,7 +147,7 @@
 	}
 	delete(c.calls, id)
 	c.busy--
-	if a.Dropped() { // never written: the store knows nothing of it
+	if a.Revoke() { // never written: the store knows nothing of it
 		return true
 	}
 	c.stale[id] = true
@@ -171,7 +171,7 @@
 	c.last, c.fenced = true, true
 	var never []*broker.Attempt
 	for id, s := range c.calls {
-		if !s.written && s.Begin() { // from here the writer can't begin it any more
+		if !s.written && s.Revoke() { // from here the writer can't begin it any more
 			never = append(never, s.Attempt)
 			delete(c.calls, id)
 			c.busy--
@@ -249,7 +249,7 @@
 	for id, s := range c.calls {
 		if s.written {
 			over = append(over, end{s.Attempt, policy.Broken})
-		} else if s.Begin() {
+		} else if s.Revoke() {
 			over = append(over, end{s.Attempt, policy.Unconnected})
 		} else {
 			continue // being written: the writer sees the error and tells which it was
@@ -281,8 +281,8 @@
 	}
 }
 
-func (c *conn) run() {
-	nc, err := net.DialTimeout("tcp", c.to.Addr, c.pool.connectTimeout())
+func (c *conn) run(dial Dial) {
+	nc, err := dial(c.to.Addr, c.pool.connectTimeout())
 	if err != nil {
 		c.close(fmt.Errorf("connect: %w", err))
 		return
@@ -321,6 +321,21 @@
 	}
 }
 
+// takeBack ends an attempt that was put on the connection and must not be written any more.
+func (c *conn) takeBack(a *broker.Attempt) {
+	c.mu.Lock()
+	s := c.calls[PartID(a)]
+	ours := s != nil && s.Attempt == a
+	if ours {
+		delete(c.calls, PartID(a))
+		c.busy--
+	}
+	c.mu.Unlock()
+	if ours {
+		a.Finish(broker.Outcome{Status: policy.Moot, Report: policy.NoReport})
+	}
+}
+
 // write sends one item. The outcome of a call whose last byte did not go out is that it never ran.
 func (c *conn) write(nc net.Conn, it item, buf []byte) ([]byte, error) {
 	now := time.Now()
@@ -342,6 +357,8 @@
 		for _, a := range it.call {
 			if a.Begin() {
 				begun = append(begun, a)
+			} else if a.Revoke() {
+				c.takeBack(a)
 			}
 		}
 		if len(begun) == 0 {
--- a/storepool/pool.go
+++ b/storepool/pool.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"net"
 	"slices"
 	"strconv"
 	"sync"
@@ -90,11 +91,22 @@
 	log    *logrus.Entry
 
 	mu     sync.Mutex
+	dial   Dial
 	stores map[uint32]*store
 	open   int // connections, those that are to end included
 	closed bool
 }
 
+// Dial opens a connection to an address within a limit.
+type Dial func(addr string, limit time.Duration) (net.Conn, error)
+
+// DialBy has connections that are opened from now on opened in another way than by TCP alone.
+func (p *Pool) DialBy(dial Dial) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dial = dial
+}
+
 // store is what the pool keeps for one store. The pool's lock guards it.
 type store struct {
 	Store
@@ -113,7 +125,8 @@
 
 // New returns a pool that knows no store.
 func New(limits Limits, codec Codec, log *logrus.Entry) *Pool {
-	return &Pool{limits: limits, codec: codec, log: log, stores: map[uint32]*store{}}
+	dial := func(addr string, limit time.Duration) (net.Conn, error) { return net.DialTimeout("tcp", addr, limit) }
+	return &Pool{limits: limits, codec: codec, log: log, stores: map[uint32]*store{}, dial: dial}
 }
 
 func (p *Pool) connectTimeout() time.Duration {
@@ -210,7 +223,7 @@
 	}
 	st.conns = append(st.conns, c)
 	p.open++
-	go c.run()
+	go c.run(p.dial)
 	return nil
 }
 
