Put the settings of a new configuration in force at SIGHUP, whole

Cause: Gatherer.Reload compared the settings, named them under next_start and left the old ones in force: queries of an old class were served, those of a new one got 404 until a restart. Change: broker, pool and watch go by the new settings at once (broker.Use, Pool.Use, Watch.Use; the list is asked for whole again); what was taken is answered as it was taken. With an agreed document the new file's settings take its place under the version in force. Settings that cannot be served change nothing. Result: TestSettingsAtHangUpTakeThePlaceOfAllOldOnes (a process; 404 for the old class, keyed rules, one stream a connection and the grace of the new ones, the open query answered); it fails with Reload as it was.

--- a/agreement.go
+++ b/agreement.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"alderproxy/admin"
@@ -26,8 +27,8 @@
 
 	mu      sync.Mutex
 	version uint64
-	doc     *document.Document // of the version; nil: none is known yet
-	edge    *platform.Config   // the gatherer's; nil: that front is off
+	doc     *document.Document              // of the version; nil: none is known yet
+	edge    atomic.Pointer[platform.Config] // the gatherer's; nil: that front is off
 }
 
 // part is this instance's part in its group, with a vote or without.
@@ -64,7 +65,8 @@
 	if err != nil {
 		return fmt.Errorf("agreement.key_file: %w", err)
 	}
-	a := &agreement{p: p, edge: edge}
+	a := &agreement{p: p}
+	a.edge.Store(edge)
 	log := p.log.WithField("instance", p.config.ID)
 	conf := group.Config{Name: p.config.ID, Folder: p.config.Folder, Address: c.Address, Key: key, Voters: c.Follow,
 		Bound: c.StaleAfter, ServeOn: c.ServeStale, Speed: c.Speed, SnapshotAfter: c.SnapshotAfter, Log: log,
@@ -113,8 +115,8 @@
 			return nil, nil, err
 		}
 	}
-	if a.edge != nil {
-		if edge, err = a.edge.Terms(version, d); err != nil {
+	if c := a.edge.Load(); c != nil {
+		if edge, err = c.Terms(version, d); err != nil {
 			return nil, nil, err
 		}
 	}
@@ -155,13 +157,31 @@
 	return nil
 }
 
+// reload has the gatherer serve by a new configuration of its own, under the version that is in force.
+func (a *agreement) reload(c *platform.Config) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	terms := &broker.Terms{Settings: c.Settings}
+	if a.doc != nil {
+		var err error
+		if terms, err = c.Terms(a.version, a.doc); err != nil {
+			return err
+		}
+	}
+	if err := a.p.gatherer.Reload(c); err != nil {
+		return err
+	}
+	a.edge.Store(c)
+	return a.p.gatherer.Use(terms)
+}
+
 // first are the terms that the fronts start with. The lock is held.
 func (a *agreement) first() (search, edge *broker.Terms, err error) {
 	if a.doc != nil {
 		return a.terms(a.version, a.doc)
 	}
-	if a.edge != nil {
-		edge = &broker.Terms{Settings: a.edge.Settings}
+	if c := a.edge.Load(); c != nil {
+		edge = &broker.Terms{Settings: c.Settings}
 	}
 	return opensearch.Unknown(), edge, nil
 }
--- a/alderproxy.go
+++ b/alderproxy.go
@@ -224,8 +224,16 @@
 		p.log.WithError(err).Error("new configuration unusable: the old one stands")
 		return
 	}
+	if p.agreement != nil {
+		err = p.agreement.reload(c)
+	} else {
+		err = p.gatherer.Reload(c)
+	}
+	if err != nil {
+		p.log.WithError(err).Error("new configuration unusable: the old one stands")
+		return
+	}
 	useLimits(c)
-	p.gatherer.Reload(c)
 }
 
 func gathererConfig(path string) (*platform.Config, error) {
--- a/alderproxy_test.go
+++ b/alderproxy_test.go
@@ -152,3 +152,46 @@
 		assert.Nil(t, c.Agreement, path)
 	}
 }
+
+// The settings of another customer come with SIGHUP: from then on none of the old ones is in force, and what was taken by
+// them is answered by them. Settings that cannot be served change nothing.
+func TestSettingsAtHangUpTakeThePlaceOfAllOldOnes(t *testing.T) {
+	s := standin.NewFrameStore(t)
+	d := standin.NewDiscovery(t, standin.Entry("s-1", s, "in_service"))
+	c, path, cl, lines := running(t, settings(d))
+	release := s.Hold()
+	ask(cl, "q1")
+	standin.Next(t, s)
+	reload := func(text, logs string) {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		require.NoError(t, c.Process.Signal(syscall.SIGHUP))
+		logged(t, lines, logs)
+	}
+	post := func(class, key string) int {
+		other := standin.Dial(t, cl.RemoteAddr().String())
+		other.Send("POST", "/"+class, `{"slices":[{"slice":0,"mass":1}],"filter":"x"}`, "Request-Id", "r-"+class+key,
+			"Request-Timeout", "2", "Idempotency-Key", key)
+		return other.Read().Status
+	}
+	booking := strings.NewReplacer(standin.Lookup, `{"name":"booking","effect":"idempotency_key","window_us":400000,"promise_us":300000,"give_up_us":900000,"gain":4}`,
+		`"drain_grace_us":500000`, `"drain_grace_us":250000`, `"max_streams":32`, `"max_streams":1`).Replace(settings(d))
+	reload(strings.Replace(booking, `"promise_us":300000`, `"fetch":1,"promise_us":0`, 1), "new configuration unusable")
+	reload(booking, `configuration read again.*next_start="\[\]".*settings=true`)
+	assert.Equal(t, 404, post("lookup", ""), "an old class is in force")
+	assert.Equal(t, 400, post("booking", ""), "the new class is keyed")
+	release()
+	assert.Equal(t, 200, post("booking", "k"))
+	assert.Equal(t, 200, cl.Read().Status, "what was taken by the old ones")
+	require.Eventually(t, func() bool { // and lists are asked for by the new grace
+		select {
+		case target := <-d.Targets:
+			return strings.HasSuffix(target, "hold_ms=125")
+		default:
+			return false
+		}
+	}, 5*time.Second, time.Millisecond)
+	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
+	for lines.Scan() { // to the end
+	}
+	assert.NoError(t, c.Wait())
+}
--- a/storepool/conn.go
+++ b/storepool/conn.go
@@ -55,7 +55,7 @@
 }
 
 // mostOut bounds what waits to be written on one connection: its calls, and as many words about given up ones again.
-func (c *conn) mostOut() int { return 4*c.pool.limits.Streams + 16 }
+func (c *conn) mostOut() int { return 4*c.pool.limits.Load().Streams + 16 }
 
 // put has an item written, unless the other side does not read and too much waits already. The lock is held.
 func (c *conn) put(it item) bool {
@@ -116,7 +116,7 @@
 func (c *conn) push(it item, want fit) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.err != nil || c.last || c.busy >= c.pool.limits.Streams && it.call != nil ||
+	if c.err != nil || c.last || c.busy >= c.pool.limits.Load().Streams && it.call != nil ||
 		want >= sound && c.silent() || want == apart && c.busy > 0 {
 		return false
 	}
--- a/storepool/conn_test.go
+++ b/storepool/conn_test.go
@@ -65,7 +65,7 @@
 	call := item{call: []*broker.Attempt{a}}
 	require.True(t, c.push(call, anyRoom))
 	assert.False(t, c.push(call, anyRoom), "more than the connection carries")
-	c.pool.limits.Streams = 9
+	c.pool.Use(Limits{ConnectTimeout: 250_000, ConnIdle: 15_000_000, Streams: 9})
 	assert.False(t, c.push(call, anyRoom), "two parts of one name")
 	assert.False(t, c.giveUp(&broker.Attempt{Query: a.Query}), "another attempt of that name")
 }
--- a/storepool/pool.go
+++ b/storepool/pool.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -86,7 +87,7 @@
 	// before the first Follow.
 	Stale func() bool
 
-	limits Limits
+	limits atomic.Pointer[Limits]
 	codec  Codec
 	log    *logrus.Entry
 
@@ -126,17 +127,22 @@
 // New returns a pool that knows no store.
 func New(limits Limits, codec Codec, log *logrus.Entry) *Pool {
 	dial := func(addr string, limit time.Duration) (net.Conn, error) { return net.DialTimeout("tcp", addr, limit) }
-	return &Pool{limits: limits, codec: codec, log: log, stores: map[uint32]*store{}, dial: dial}
+	p := &Pool{codec: codec, log: log, stores: map[uint32]*store{}, dial: dial}
+	p.limits.Store(&limits)
+	return p
 }
 
+// Use has the pool go by other limits from now on.
+func (p *Pool) Use(limits Limits) { p.limits.Store(&limits) }
+
 func (p *Pool) connectTimeout() time.Duration {
-	return time.Duration(p.limits.ConnectTimeout) * time.Microsecond
+	return time.Duration(p.limits.Load().ConnectTimeout) * time.Microsecond
 }
 
 // idleLimit is when we close an idle connection: before the store does, since a request that crosses its close
 // would end as a reset, which may have run.
 func (p *Pool) idleLimit() time.Duration {
-	return time.Duration(p.limits.ConnIdle) * time.Microsecond * 9 / 10
+	return time.Duration(p.limits.Load().ConnIdle) * time.Microsecond * 9 / 10
 }
 
 // Follow takes the list as it now is. It must be called before the broker hears of it. Calls still waiting to be
@@ -211,7 +217,7 @@
 	if p.put(st, it, want) || len(st.conns) >= maxSpread && p.put(st, it, anyRoom) {
 		return nil
 	}
-	if p.limits.Conns > 0 && len(st.conns) >= p.limits.Conns {
+	if most := p.limits.Load().Conns; most > 0 && len(st.conns) >= most {
 		return fmt.Errorf("store %s: all %d connections are busy", st.Name, len(st.conns))
 	}
 	if left <= 0 && !p.yield(st) {
