Put no call on a connection that has been idle for as long as stores keep one

Cause: conn.push looked at silence and streams, not at how long a connection had been idle; only its reader's timer closes idle ones. After a process stood still the next call could leave before that timer: written to a connection that the store may have closed, it ends as a reset that may have run. Change: push closes such a connection and takes another.

--- a/storepool/conn.go
+++ b/storepool/conn.go
@@ -120,6 +120,12 @@
 		want >= sound && c.silent() || want == apart && c.busy > 0 {
 		return false
 	}
+	// Nobody looked for so long (a process that stood still): its store may have closed it by now.
+	if it.call != nil && c.nc != nil && c.busy == 0 && time.Since(c.used) >= c.pool.idleLimit() {
+		c.last = true
+		go c.close(errIdle)
+		return false
+	}
 	for _, a := range it.call {
 		if id := PartID(a); c.stale[id] || c.calls[id] != nil {
 			return false
