--- a/alderproxy_test.go
+++ b/alderproxy_test.go
@@ -4,11 +4,14 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -17,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 
 	"alderproxy/config"
+	"alderproxy/httpwire"
 	"alderproxy/internal/standin"
 	"alderproxy/platform"
 )
@@ -195,3 +199,77 @@
 	}
 	assert.NoError(t, c.Wait())
 }
+
+// Clients fill what they may of few descriptors, silent ones and ones that wait for silent stores, connections to stores
+// the rest, and discovery is silent meanwhile. A drain that it tells at its return is heard all the same: descriptors are
+// kept for it.
+func TestClientsAtTheBoundLeaveRoomForDiscovery(t *testing.T) {
+	const sockets = 64
+	s := standin.NewFrameStore(t)
+	watchArrivals(s)
+	var entries []string
+	for i := range 24 { // more stores than there is room for connections
+		entries = append(entries, standin.Entry(fmt.Sprint("s-", i), s, "in_service"))
+	}
+	d := standin.NewDiscovery(t, entries...)
+	config := strings.Replace(settings(d), `"settings":`, fmt.Sprintf(`"limits":{"sockets":%d},"settings":`, sockets), 1)
+	c, _ := command(t, config)
+	c.Path, c.Args = "/bin/sh", []string{"sh", "-c", fmt.Sprintf("ulimit -n %d; exec %q", sockets, os.Args[0])}
+	out, err := c.StderrPipe()
+	require.NoError(t, err)
+	require.NoError(t, c.Start())
+	t.Cleanup(func() { c.Process.Kill() })
+	lines := bufio.NewScanner(out)
+	addr := logged(t, lines, `msg=serving.*listen="([^"]+)"`)[1]
+	var full atomic.Int64
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), "too many open files") {
+				full.Add(1)
+			}
+		}
+	}()
+	d.Silence(true)
+	s.SetFault(standin.Mute)
+	var clients sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range 3 * sockets {
+		clients.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				nc, err := net.DialTimeout("tcp", addr, time.Second)
+				if err != nil {
+					continue
+				}
+				nc.SetDeadline(time.Now().Add(3 * time.Second))
+				if i%4 > 0 { // the others say nothing
+					nc.Write(lookup(fmt.Sprint("q", i, "-", n)))
+				}
+				httpwire.ReadResponse(bufio.NewReader(nc)) // served, refused, turned away or ended
+				nc.Close()
+			}
+		})
+	}
+	for len(d.Targets) > 0 {
+		<-d.Targets
+	}
+	for range 30 { // calls that are out, each with a descriptor
+		<-d.Targets
+	}
+	d.Silence(false)
+	d.Tell(false, standin.Entry("s-0", s, "terminating"))
+	heard := fmt.Sprintf("from=%d&", d.Version())
+	require.Eventually(t, func() bool { return strings.Contains(<-d.Targets, heard) }, 5*time.Second, time.Millisecond)
+	close(stop)
+	clients.Wait()
+	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
+	<-ended
+	assert.NoError(t, c.Wait())
+	assert.Zero(t, full.Load(), "descriptors ran out")
+}
--- a/internal/simnet/simfleet/store.go
+++ b/internal/simnet/simfleet/store.go
@@ -61,8 +61,8 @@
 
 type job struct {
 	work   float64
-	counts float64 // by its class's mean, as the rule on cold stores has it
-	done func(policy.Status, policy.Report) bool // tells whether anybody waited
+	counts float64                                 // by its class's mean, as the rule on cold stores has it
+	done   func(policy.Status, policy.Report) bool // tells whether anybody waited
 }
 
 // share is the part of its capacity that a store has: it warms evenly.
