--- a/alderproxy_test.go
+++ b/alderproxy_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -273,3 +274,88 @@
 	assert.NoError(t, c.Wait())
 	assert.Zero(t, full.Load(), "descriptors ran out")
 }
+
+// A planned stop begins at every moment there is: what was taken is answered whole, also to who reads it after the process
+// has gone, and the process ends with status 0 in its time.
+func TestPlannedStopAtAnyMoment(t *testing.T) {
+	term := func(c *exec.Cmd) { c.Process.Signal(syscall.SIGTERM) }
+	for name, during := range map[string]func(t *testing.T, c *exec.Cmd, d *standin.Discovery, s *standin.Store, release func()) (status []int){
+		"answer on its way": func(_ *testing.T, c *exec.Cmd, _ *standin.Discovery, _ *standin.Store, release func()) []int {
+			term(c)
+			release()
+			return []int{200}
+		},
+		"twice, and SIGHUP between": func(_ *testing.T, c *exec.Cmd, _ *standin.Discovery, _ *standin.Store, release func()) []int {
+			term(c)
+			c.Process.Signal(syscall.SIGHUP)
+			term(c)
+			release()
+			return []int{200}
+		},
+		"right behind SIGHUP": func(_ *testing.T, c *exec.Cmd, _ *standin.Discovery, _ *standin.Store, release func()) []int {
+			c.Process.Signal(syscall.SIGHUP)
+			term(c)
+			release()
+			return []int{200}
+		},
+		"a list comes": func(_ *testing.T, c *exec.Cmd, d *standin.Discovery, s *standin.Store, release func()) []int {
+			d.Tell(false, standin.Entry("s-1", s, "terminating"))
+			term(c)
+			release()
+			return []int{200}
+		},
+		"discovery falls silent": func(_ *testing.T, c *exec.Cmd, d *standin.Discovery, _ *standin.Store, release func()) []int {
+			d.Silence(true)
+			term(c)
+			release()
+			return []int{200}
+		},
+		"stores hang all the while": func(_ *testing.T, c *exec.Cmd, _ *standin.Discovery, _ *standin.Store, _ func()) []int {
+			term(c)
+			return []int{429, 503}
+		},
+		"the store goes away": func(_ *testing.T, c *exec.Cmd, _ *standin.Discovery, s *standin.Store, _ func()) []int {
+			term(c)
+			s.SetFault(standin.Down)
+			return []int{429, 503}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := standin.NewFrameStore(t)
+			d := standin.NewDiscovery(t, standin.Entry("s-1", s, "in_service"))
+			c, _, cl, lines := running(t, settings(d))
+			release := s.Hold()
+			ask(cl, "q1")
+			standin.Next(t, s)
+			cl.Write([]byte("POST /lookup HTTP/1.1\r\nConte")) // half of a next one lies unread
+			began := time.Now()
+			want := during(t, c, d, s, release)
+			for lines.Scan() { // to the end
+			}
+			require.NoError(t, c.Wait())
+			assert.Less(t, time.Since(began), 5*time.Second)
+			assert.Contains(t, want, cl.Read().Status)
+			if _, err := cl.R.Peek(1); err == nil { // the half request's own answer
+				assert.Equal(t, 408, cl.Read().Status)
+			}
+			_, err := cl.R.Peek(1)
+			assert.ErrorIs(t, err, io.EOF, "it ended in order")
+		})
+	}
+	t.Run("before it is ready", func(t *testing.T) {
+		t.Parallel()
+		d := standin.NewDiscovery(t)
+		d.Silence(true)
+		c, _ := command(t, settings(d))
+		out, err := c.StderrPipe()
+		require.NoError(t, err)
+		require.NoError(t, c.Start())
+		lines := bufio.NewScanner(out)
+		logged(t, lines, "msg=serving")
+		term(c)
+		for lines.Scan() {
+		}
+		assert.NoError(t, c.Wait())
+	})
+}
--- a/storepool/conn.go
+++ b/storepool/conn.go
@@ -222,10 +222,10 @@
 	return c.used, c.err == nil && !c.last && c.nc != nil && c.busy+len(c.out)+len(c.probes) == 0
 }
 
-// closeIfIdle closes the connection if nothing is out on it and it was not used for that long.
+// closeIfIdle closes the connection if nothing is out on it and it was not used for that long, or takes nothing new.
 func (c *conn) closeIfIdle(unused time.Duration) {
 	c.mu.Lock()
-	idle := c.busy == 0 && (time.Since(c.used) >= unused || c.silent()) && len(c.out) == 0
+	idle := c.busy == 0 && (c.last || time.Since(c.used) >= unused || c.silent()) && len(c.out) == 0
 	if idle {
 		c.last = true // before the lock is let go: no call may slip in between
 	}
@@ -288,6 +288,7 @@
 }
 
 func (c *conn) run(dial Dial) {
+	defer c.pool.ended() // closed or not, it is dialled to the end
 	nc, err := dial(c.to.Addr, c.pool.connectTimeout())
 	if err != nil {
 		c.close(fmt.Errorf("connect: %w", err))
--- a/storepool/conn_test.go
+++ b/storepool/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -152,3 +153,28 @@
 		})
 	}
 }
+
+// A connection that is closed while it is dialled holds its descriptor until the dial has ended, and counts until then.
+func TestConnectionCountsUntilItsDialHasEnded(t *testing.T) {
+	s := standin.NewFrameStore(t)
+	p := waiting(32).pool
+	began, hold := make(chan struct{}, 1), make(chan struct{})
+	p.DialBy(func(addr string, limit time.Duration) (net.Conn, error) {
+		began <- struct{}{}
+		<-hold
+		return net.DialTimeout("tcp", addr, limit)
+	})
+	open := func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.open
+	}
+	p.Follow([]Store{{Name: "s", Addr: s.Addr, Server: policy.Server{ID: 1, Presence: policy.Ready}}})
+	to, _ := attempts(t)
+	require.NoError(t, p.Send(1, []*broker.Attempt{<-to}))
+	<-began
+	p.Close()
+	assert.Equal(t, 1, open())
+	close(hold)
+	assert.Eventually(t, func() bool { return open() == 0 }, 5*time.Second, time.Millisecond)
+}
--- a/storepool/pool.go
+++ b/storepool/pool.go
@@ -317,7 +317,6 @@
 func (p *Pool) forget(c *conn, broke bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open--
 	st := p.stores[c.to.ID]
 	if st == nil {
 		return
@@ -333,6 +332,13 @@
 	}
 }
 
+// ended notes that a connection has given its descriptor back.
+func (p *Pool) ended() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
 // probe is one question for load.
 type probe struct {
 	once sync.Once
