Bound the log lines that stores and clients can cause to one a second

Cause: 'store connection ended', 'attempt not sent' and 'query cut off' were written once for each connection, call and query: a store that ends every connection writes as many lines as there are calls.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -16,6 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"alderproxy/internal/seldom"
 	"alderproxy/policy"
 )
 
@@ -186,6 +187,8 @@
 	timers  timers
 	events  []policy.Event
 	cutoff  time.Time // of a drain; zero: none
+	cutOff  seldom.Line
+	notSent seldom.Line
 }
 
 type query struct {
@@ -458,7 +461,9 @@
 			}
 		}
 	}
-	b.log.WithFields(logrus.Fields{"query": q.ID, "refused": ending == Refused}).Warn("query cut off at its end of time")
+	if more, due := b.cutOff.Due(now); due {
+		b.log.WithFields(logrus.Fields{"query": q.ID, "refused": ending == Refused, "more": more}).Warn("query cut off at its end of time")
+	}
 	b.tell(policy.ClientGone{Query: q.id})
 	b.forget(q, now)
 	q.Sink.Final(Answer{Ending: ending, Late: true, Version: q.version})
@@ -632,7 +637,9 @@
 	if err == nil {
 		return
 	}
-	b.log.WithError(err).WithField("server", server).Warn("attempt not sent")
+	if more, due := b.notSent.Due(now); due {
+		b.log.WithError(err).WithFields(logrus.Fields{"server": server, "more": more}).Warn("attempt not sent")
+	}
 	for _, a := range call {
 		a.Revoke()
 		b.outcome(a, Outcome{Status: policy.Unconnected, Report: policy.NoReport}, now)
--- a/httpwire/server.go
+++ b/httpwire/server.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"alderproxy/internal/seldom"
 )
 
 // Server serves HTTP with one goroutine a connection.
@@ -37,7 +39,7 @@
 	conns    map[*Exchange]struct{}
 	extra    int // connections being turned away, and those that yield
 	idles    int // of conns, those between requests
-	warned   time.Time
+	warned   seldom.Line
 	listener net.Listener
 	leaving  atomic.Bool // answers say that the connection ends
 	closed   atomic.Bool // idle connections end at once
@@ -229,9 +231,8 @@
 
 // warn logs what any client can cause, once a second at most. The lock is held.
 func (s *Server) warn(what string, err error) {
-	if now := time.Now(); now.Sub(s.warned) >= time.Second {
-		s.warned = now
-		s.Log.WithError(err).WithField("connections", len(s.conns)).Warn(what)
+	if more, due := s.warned.Due(time.Now()); due {
+		s.Log.WithError(err).WithFields(logrus.Fields{"connections": len(s.conns), "more": more}).Warn(what)
 	}
 }
 
--- a/storepool/conn.go
+++ b/storepool/conn.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"alderproxy/broker"
 	"alderproxy/policy"
 )
@@ -271,9 +273,10 @@
 	c.probes, c.out = nil, nil
 	c.mu.Unlock()
 	ours := errors.Is(why, errIdle) || errors.Is(why, errClosed)
-	c.pool.forget(c, len(over) > 0 && !ours)
-	if !ours {
-		c.pool.log.WithField("store", c.to.Name).WithField("out", len(over)).WithError(why).Info("store connection ended")
+	if line := c.pool.forget(c, len(over) > 0 && !ours); line != nil && !ours {
+		if more, due := line.Due(time.Now()); due {
+			c.pool.log.WithFields(logrus.Fields{"store": c.to.Name, "out": len(over), "more": more}).WithError(why).Info("store connection ended")
+		}
 	}
 	status := policy.Broken
 	if c.nc == nil {
--- a/storepool/conn_test.go
+++ b/storepool/conn_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"alderproxy/broker"
+	"alderproxy/internal/seldom"
 	"alderproxy/internal/standin"
 	"alderproxy/internal/wire"
 	"alderproxy/policy"
@@ -48,6 +51,20 @@
 	return newConn(New(Limits{ConnectTimeout: 250_000, ConnIdle: 15_000_000, Streams: streams}, nil, standin.Log()), Store{})
 }
 
+// A store that ends every connection costs one log line a second, which tells how many it stands for.
+func TestEndsOfConnectionsAreLoggedSeldom(t *testing.T) {
+	log, lines := test.NewNullLogger()
+	p := New(Limits{ConnectTimeout: 250_000, ConnIdle: 15_000_000, Streams: 1}, nil, log.WithField("test", true))
+	p.Follow([]Store{{Name: "s", Server: policy.Server{ID: 1, Presence: policy.Ready}}})
+	began := time.Now()
+	for range 200 {
+		newConn(p, Store{Name: "s", Server: policy.Server{ID: 1}}).close(io.ErrUnexpectedEOF)
+	}
+	most := 1 + int(time.Since(began)/seldom.Every)
+	assert.LessOrEqual(t, len(lines.AllEntries()), most)
+	assert.Positive(t, len(lines.AllEntries()))
+}
+
 // The rule on drains counts when a frame is sent: what still waits for its connection must not go out. It has not
 // run, so it may go elsewhere at once, in a keyed class too.
 func TestQueuedCallIsTakenBackWhenItsStoreDrains(t *testing.T) {
--- a/storepool/pool.go
+++ b/storepool/pool.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"alderproxy/broker"
+	"alderproxy/internal/seldom"
 	"alderproxy/policy"
 )
 
@@ -113,6 +114,7 @@
 	Store
 	conns []*conn
 	broke time.Time // when a connection last broke under a call
+	ends  seldom.Line
 }
 
 // apartFor is how long after a connection broke under a call calls to that store leave on connections of their own:
@@ -313,13 +315,14 @@
 	}
 }
 
-// forget takes a closed connection out of its store. broke tells that a call was out on it.
-func (p *Pool) forget(c *conn, broke bool) {
+// forget takes a closed connection out of its store. broke tells that a call was out on it. It returns the log line about
+// such ends, of which a store can cause any number; nil: its store is gone.
+func (p *Pool) forget(c *conn, broke bool) *seldom.Line {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	st := p.stores[c.to.ID]
 	if st == nil {
-		return
+		return nil
 	}
 	if broke {
 		st.broke = time.Now()
@@ -327,9 +330,10 @@
 	for i, o := range st.conns {
 		if o == c {
 			st.conns = append(st.conns[:i:i], st.conns[i+1:]...)
-			return
+			break
 		}
 	}
+	return &st.ends
 }
 
 // ended notes that a connection has given its descriptor back.
