--- a/alderproxy.go
+++ b/alderproxy.go
@@ -249,5 +249,7 @@
 	if c.MemoryMB > 0 { // the collector works harder before the limit is reached; a quarter is for the rest
 		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
 	}
-	runtime.GOMAXPROCS(max(1, int(c.Cores)))
+	if c.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(c.Cores)))
+	}
 }
