--- a/httpwire/httpwire_test.go
+++ b/httpwire/httpwire_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"io"
+	"net"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 func TestReadRequest(t *testing.T) {
@@ -88,3 +90,29 @@
 		ReadResponse(bufio.NewReader(strings.NewReader(string(b)))) // must not panic
 	})
 }
+
+// An answer without a length ends with an orderly end of the connection; a reset on the way is none.
+func TestAnswerWithoutLengthThatIsResetIsNotWhole(t *testing.T) {
+	for _, reset := range []bool{true, false} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		nc, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		defer nc.Close()
+		peer, err := l.Accept()
+		require.NoError(t, err)
+		r := bufio.NewReader(nc)
+		_, err = peer.Write([]byte("HTTP/1.1 200 OK\r\n\r\n{\"version\":1"))
+		require.NoError(t, err)
+		_, err = r.Peek(30) // it has come
+		require.NoError(t, err)
+		if reset {
+			peer.(*net.TCPConn).SetLinger(0)
+		}
+		peer.Close()
+		resp, err := ReadResponse(r)
+		if assert.Equal(t, reset, err != nil); !reset {
+			assert.Equal(t, `{"version":1`, string(resp.Body))
+		}
+	}
+}
