Rename giving up to cancel in broker, pool and codecs

Need: names follow the field's standard terms: what tells a store that nobody waits any more is a cancel. Wire and settings names stay (give_up_us, Class.GiveUp).

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -100,8 +100,8 @@
 type Transport interface {
 	// Send starts attempts that share one call. An error says that none of them can be sent.
 	Send(server uint32, call []*Attempt) error
-	// GiveUp tells that nobody waits for an attempt any more.
-	GiveUp(a *Attempt)
+	// Cancel tells that nobody waits for an attempt any more.
+	Cancel(a *Attempt)
 	// HangUp closes the idle connections to a server.
 	HangUp(server uint32)
 	// Probe asks a server for its load and calls done once.
@@ -187,7 +187,7 @@
 	timers  timers
 	events  []policy.Event
 	cutoff  time.Time // of a drain; zero: none
-	cutOff  seldom.Line
+	cutOffs seldom.Line
 	notSent seldom.Line
 }
 
@@ -445,11 +445,11 @@
 		b.tell(policy.Part{ID: p.id, Number: q.id, Shard: s.Slice, Key: s.Key, Weight: s.Weight, Hint: s.Hint})
 	}
 	// The module ends every query in time. Should it ever not, the client still gets its one answer.
-	q.timer = b.timers.add(spec.Deadline.Add(-time.Millisecond), func(now time.Time) { b.giveUp(q, now) })
+	q.timer = b.timers.add(spec.Deadline.Add(-time.Millisecond), func(now time.Time) { b.cutOff(q, now) })
 }
 
-// giveUp ends a query for which the decisions have no more time.
-func (b *Broker) giveUp(q *query, now time.Time) {
+// cutOff ends a query for which the decisions have no more time.
+func (b *Broker) cutOff(q *query, now time.Time) {
 	if b.queries[q.id] != q {
 		return
 	}
@@ -461,7 +461,7 @@
 			}
 		}
 	}
-	if more, due := b.cutOff.Due(now); due {
+	if more, due := b.cutOffs.Due(now); due {
 		b.log.WithFields(logrus.Fields{"query": q.ID, "refused": ending == Refused, "more": more}).Warn("query cut off at its end of time")
 	}
 	b.tell(policy.ClientGone{Query: q.id})
@@ -477,7 +477,7 @@
 	}
 	slices.SortFunc(open, func(x, y *query) int { return int(int64(x.id) - int64(y.id)) })
 	for _, q := range open {
-		b.giveUp(q, now)
+		b.cutOff(q, now)
 	}
 }
 
@@ -530,7 +530,7 @@
 	if a.Revoke() && status == policy.TimedOut {
 		status = policy.Unconnected // it was never written: it waited for a connection all the time
 	}
-	b.to.GiveUp(a)
+	b.to.Cancel(a)
 	b.outcome(a, Outcome{Status: status, Report: policy.NoReport}, now)
 }
 
--- a/opensearch/stores.go
+++ b/opensearch/stores.go
@@ -27,8 +27,8 @@
 	return httpwire.AppendRequest(to, "POST", target, store.Addr, extra, a.Query.Text)
 }
 
-// AppendGiveUp appends nothing: only closing gives a search up.
-func (codec) AppendGiveUp(to []byte, _ string) []byte { return to }
+// AppendCancel appends nothing: only closing gives a search up.
+func (codec) AppendCancel(to []byte, _ string) []byte { return to }
 
 // AppendProbe appends nothing: the API has no cheap question for load.
 func (codec) AppendProbe(to []byte) []byte { return to }
--- a/storepool/conn.go
+++ b/storepool/conn.go
@@ -24,7 +24,7 @@
 type item struct {
 	call   []*broker.Attempt
 	probe  *probe
-	giveUp string
+	cancel string
 }
 
 // conn is one connection to a store. One goroutine dials and writes, a second reads: an answer may come
@@ -144,8 +144,8 @@
 	return true
 }
 
-// giveUp tells the store that nobody waits for an attempt, if it is on this connection.
-func (c *conn) giveUp(a *broker.Attempt) bool {
+// cancel tells the store that nobody waits for an attempt, if it is on this connection.
+func (c *conn) cancel(a *broker.Attempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	id := PartID(a)
@@ -164,12 +164,12 @@
 		go c.close(errIdle)
 		return true
 	}
-	if len(c.pool.codec.AppendGiveUp(nil, id)) == 0 {
+	if len(c.pool.codec.AppendCancel(nil, id)) == 0 {
 		c.last = true
 		go c.close(errClosed) // not from here: other attempts' ends may wait for the owner
 		return true
 	}
-	c.put(item{giveUp: id}) // to a peer that does not read the word is lost, as it would be on the way
+	c.put(item{cancel: id}) // to a peer that does not read the word is lost, as it would be on the way
 	return true
 }
 
@@ -351,8 +351,8 @@
 	now := time.Now()
 	var begun []*broker.Attempt
 	switch {
-	case it.giveUp != "":
-		buf = c.pool.codec.AppendGiveUp(buf, it.giveUp)
+	case it.cancel != "":
+		buf = c.pool.codec.AppendCancel(buf, it.cancel)
 	case it.probe != nil:
 		c.mu.Lock()
 		if c.err != nil || c.fenced {
@@ -376,7 +376,7 @@
 		}
 		buf = c.pool.codec.AppendCall(buf, c.to, begun, now)
 	}
-	if it.giveUp == "" {
+	if it.cancel == "" {
 		c.mu.Lock()
 		if c.waits.IsZero() {
 			c.waits = now
--- a/storepool/conn_test.go
+++ b/storepool/conn_test.go
@@ -22,7 +22,7 @@
 type capture chan *broker.Attempt
 
 func (c capture) Send(_ uint32, call []*broker.Attempt) error { c <- call[0]; return nil }
-func (capture) GiveUp(*broker.Attempt)                        {}
+func (capture) Cancel(*broker.Attempt)                        {}
 func (capture) HangUp(uint32)                                 {}
 func (capture) Probe(uint32, func(broker.Outcome))            {}
 
@@ -73,7 +73,7 @@
 	require.True(t, c.push(item{call: []*broker.Attempt{a}}, anyRoom))
 	c.stopSending()
 	assert.False(t, a.Begin(), "it could still be written")
-	assert.False(t, c.push(item{giveUp: "x"}, anyRoom), "something new could still go out")
+	assert.False(t, c.push(item{cancel: "x"}, anyRoom), "something new could still go out")
 	assert.NotSame(t, a, <-to)
 }
 
@@ -85,7 +85,7 @@
 	assert.False(t, c.push(call, anyRoom), "more than the connection carries")
 	c.pool.Use(Limits{ConnectTimeout: 250_000, ConnIdle: 15_000_000, Streams: 9})
 	assert.False(t, c.push(call, anyRoom), "two parts of one name")
-	assert.False(t, c.giveUp(&broker.Attempt{Query: a.Query}), "another attempt of that name")
+	assert.False(t, c.cancel(&broker.Attempt{Query: a.Query}), "another attempt of that name")
 }
 
 // What a connection carried when it ended has never run if it was not written, and may have if it was.
--- a/storepool/pool.go
+++ b/storepool/pool.go
@@ -47,8 +47,8 @@
 type Codec interface {
 	// AppendCall appends attempts that share one call to a store.
 	AppendCall(to []byte, store Store, call []*broker.Attempt, now time.Time) []byte
-	// AppendGiveUp appends the word that a part is given up. Where it appends nothing, the connection is closed.
-	AppendGiveUp(to []byte, id string) []byte
+	// AppendCancel appends the word that a part is given up. Where it appends nothing, the connection is closed.
+	AppendCancel(to []byte, id string) []byte
 	// AppendProbe appends a probe for load. Where it appends nothing, stores take none.
 	AppendProbe(to []byte) []byte
 	// Read reads one message. Its first byte is known to be there.
@@ -260,13 +260,13 @@
 	return slices.ContainsFunc(st.conns, func(c *conn) bool { return c.push(it, want) })
 }
 
-// GiveUp tells the store that an attempt is given up.
-func (p *Pool) GiveUp(a *broker.Attempt) {
+// Cancel tells the store that an attempt is given up.
+func (p *Pool) Cancel(a *broker.Attempt) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if st := p.stores[a.Server]; st != nil {
 		for _, c := range st.conns {
-			if c.giveUp(a) {
+			if c.cancel(a) {
 				return
 			}
 		}
