--- a/broker/broker.go
+++ b/broker/broker.go
@@ -102,8 +102,8 @@
 	Send(server uint32, call []*Attempt) error
 	// Cancel tells that nobody waits for an attempt any more.
 	Cancel(a *Attempt)
-	// HangUp closes the idle connections to a server.
-	HangUp(server uint32)
+	// CloseIdle closes the idle connections to a server.
+	CloseIdle(server uint32)
 	// Probe asks a server for its load and calls done once.
 	Probe(server uint32, done func(Outcome))
 }
@@ -574,7 +574,7 @@
 		case policy.Fail:
 			b.finish(act.Query, Answer{Ending: Failed}, now)
 		case policy.HangUp:
-			b.to.HangUp(act.Server)
+			b.to.CloseIdle(act.Server)
 		case policy.Probe:
 			b.probe(act.Server, now)
 		case policy.Wake:
--- a/storepool/conn.go
+++ b/storepool/conn.go
@@ -199,9 +199,9 @@
 	c.closeIfIdle(0)
 }
 
-// hangUp takes an idle connection out of use at once, so that the next call opens a new one: the owner's next Send
+// closeIdle takes an idle connection out of use at once, so that the next call opens a new one: the owner's next Send
 // follows so closely that a close from another goroutine would come too late. A probe that is out may still end.
-func (c *conn) hangUp() {
+func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err != nil || c.busy > 0 && !c.silent() {
--- a/storepool/pool.go
+++ b/storepool/pool.go
@@ -251,7 +251,7 @@
 		}
 	}
 	if oldest != nil {
-		oldest.hangUp()
+		oldest.closeIdle()
 	}
 	return oldest != nil
 }
@@ -273,13 +273,13 @@
 	}
 }
 
-// HangUp closes the idle connections to a store.
-func (p *Pool) HangUp(server uint32) {
+// CloseIdle closes the idle connections to a store.
+func (p *Pool) CloseIdle(server uint32) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if st := p.stores[server]; st != nil {
 		for _, c := range st.conns {
-			c.hangUp()
+			c.closeIdle()
 		}
 	}
 }
