--- a/broker/broker.go
+++ b/broker/broker.go
@@ -364,7 +364,7 @@
 	}
 }
 
-func (b *Broker) tell(e policy.Event) { b.events = append(b.events, e) }
+func (b *Broker) emit(e policy.Event) { b.events = append(b.events, e) }
 
 func (b *Broker) take(item any) {
 	now := time.Now()
@@ -373,20 +373,20 @@
 		b.takeQuery(it, now)
 	case cancel:
 		if q := b.byQuery[it.q]; q != nil {
-			b.tell(policy.ClientGone{Query: q.id})
+			b.emit(policy.ClientGone{Query: q.id})
 			b.forget(q, now)
 		}
 	case finished:
 		b.outcome(it.a, it.o, now)
 	case probed:
-		b.tell(policy.ProbeResult{Server: it.server, Status: it.o.Status, Elapsed: now.Sub(it.at).Microseconds(),
+		b.emit(policy.ProbeResult{Server: it.server, Status: it.o.Status, Elapsed: now.Sub(it.at).Microseconds(),
 			Report: it.o.Report})
 	case members:
-		b.tell(policy.Members{Servers: it.servers})
+		b.emit(policy.Members{Servers: it.servers})
 	case change:
 		b.set = it.terms.Settings
 		b.terms.Store(it.terms)
-		b.tell(policy.Reconfigure{Settings: b.set})
+		b.emit(policy.Reconfigure{Settings: b.set})
 	case drain:
 		if b.cutoff.IsZero() {
 			b.cutoff = it.cutoff
@@ -435,14 +435,14 @@
 	}
 	b.queries[q.id], b.byQuery[spec] = q, q
 	b.open += 1 + len(spec.Parts)
-	b.tell(policy.Query{ID: q.id, Number: q.id, Class: spec.Class, Deadline: b.micros(spec.Deadline),
+	b.emit(policy.Query{ID: q.id, Number: q.id, Class: spec.Class, Deadline: b.micros(spec.Deadline),
 		Parts: len(spec.Parts), Retry: spec.Retry})
 	for _, s := range spec.Parts {
 		b.nextID++
 		p := &part{id: b.nextID, q: q, spec: s}
 		q.parts = append(q.parts, p)
 		b.parts[p.id] = p
-		b.tell(policy.Part{ID: p.id, Number: q.id, Shard: s.Slice, Key: s.Key, Weight: s.Weight, Hint: s.Hint})
+		b.emit(policy.Part{ID: p.id, Number: q.id, Shard: s.Slice, Key: s.Key, Weight: s.Weight, Hint: s.Hint})
 	}
 	// The module ends every query in time. Should it ever not, the client still gets its one answer.
 	q.timer = b.timers.add(spec.Deadline.Add(-time.Millisecond), func(now time.Time) { b.cutOff(q, now) })
@@ -464,7 +464,7 @@
 	if more, due := b.cutOffs.Due(now); due {
 		b.log.WithFields(logrus.Fields{"query": q.ID, "refused": ending == Refused, "more": more}).Warn("query cut off at its end of time")
 	}
-	b.tell(policy.ClientGone{Query: q.id})
+	b.emit(policy.ClientGone{Query: q.id})
 	b.forget(q, now)
 	q.Sink.Final(Answer{Ending: ending, Late: true, Version: q.version})
 }
@@ -517,7 +517,7 @@
 	if o.Status == policy.OK && b.queries[a.part.q.id] == a.part.q && !a.part.in {
 		a.part.in, a.part.value = true, o.Value
 	}
-	b.tell(policy.Outcome{Part: a.part.id, Try: a.try, Server: a.Server, Status: o.Status,
+	b.emit(policy.Outcome{Part: a.part.id, Try: a.try, Server: a.Server, Status: o.Status,
 		Elapsed: now.Sub(a.sent).Microseconds(), Report: o.Report})
 	b.settle(a.part)
 }
@@ -578,7 +578,7 @@
 		case policy.Probe:
 			b.probe(act.Server, now)
 		case policy.Wake:
-			b.timers.add(now.Add(span(act.After)), func(time.Time) { b.tell(policy.Timer{}) })
+			b.timers.add(now.Add(span(act.After)), func(time.Time) { b.emit(policy.Timer{}) })
 		case policy.Log:
 			b.log.Info(act.Text)
 		}
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -33,7 +33,7 @@
 	return nil
 }
 func (f *transport) Cancel(a *Attempt)                  { f.given <- a }
-func (f *transport) CloseIdle(uint32)                      {}
+func (f *transport) CloseIdle(uint32)                   {}
 func (f *transport) Probe(_ uint32, done func(Outcome)) { go done(Outcome{Report: policy.NoReport}) }
 
 type sink chan Answer
