--- a/storepool/conn_test.go
+++ b/storepool/conn_test.go
@@ -23,7 +23,7 @@
 
 func (c capture) Send(_ uint32, call []*broker.Attempt) error { c <- call[0]; return nil }
 func (capture) Cancel(*broker.Attempt)                        {}
-func (capture) CloseIdle(uint32)                                 {}
+func (capture) CloseIdle(uint32)                              {}
 func (capture) Probe(uint32, func(broker.Outcome))            {}
 
 type sink chan broker.Answer
