Prove that ten processes on one core are ready in time while discovery is silent

Need: nine in ten restarted processes ready within 10 s, on a starved core and with discovery down. Change: restart_test.go starts ten at once on one core, with the list that they had, beside a silent discovery.

--- /dev/null
+++ b/restart_test.go
@@ -0,0 +1,73 @@
+package alderproxy
+
+import (
+	"bufio"
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"alderproxy/internal/standin"
+)
+
+// A fleet's restart at its worst: all begin at once, share one core, and discovery is silent. Nine in ten take clients
+// within 10 s, by the list that they had.
+func TestNineInTenAreReadyInTimeOnOneCoreWithoutDiscovery(t *testing.T) {
+	const processes = 10
+	s := standin.NewFrameStore(t)
+	d := standin.NewDiscovery(t, standin.Entry("s-1", s, "in_service"))
+	d.Silence(true)
+	config := strings.TrimSuffix(settings(d), "}") + fmt.Sprintf(`,"known":{"version":1,"full":true,"servers":[%s]}}`,
+		standin.Entry("s-1", s, "in_service"))
+
+	var had, one unix.CPUSet
+	runtime.LockOSThread() // children have the cores of the thread that starts them
+	defer runtime.UnlockOSThread()
+	require.NoError(t, unix.SchedGetaffinity(0, &had))
+	for cpu := range 1024 {
+		if had.IsSet(cpu) {
+			one.Set(cpu)
+			break
+		}
+	}
+	require.NoError(t, unix.SchedSetaffinity(0, &one))
+	began, ready := time.Now(), make(chan time.Duration, processes)
+	for range processes {
+		c, _ := command(t, config)
+		out, err := c.StderrPipe()
+		require.NoError(t, err)
+		require.NoError(t, c.Start())
+		t.Cleanup(func() { c.Process.Kill(); c.Wait() })
+		go func() {
+			lines := bufio.NewScanner(out)
+			cl := standin.Dial(t, logged(t, lines, `msg=serving.*listen="([^"]+)"`)[1])
+			go drainLog(lines)
+			for {
+				if cl.Send("GET", "/healthz", ""); cl.Read().Status == 200 {
+					ready <- time.Since(began)
+					return
+				}
+				time.Sleep(10 * time.Millisecond) // as the front layer does
+			}
+		}()
+	}
+	require.NoError(t, unix.SchedSetaffinity(0, &had))
+	late := 0
+	for range processes {
+		select {
+		case took := <-ready:
+			if took > 10*time.Second {
+				late++
+			}
+		case <-time.After(30 * time.Second):
+			require.Fail(t, "some are never ready")
+		}
+	}
+	t.Logf("all ready after %v", time.Since(began).Round(time.Millisecond))
+	assert.LessOrEqual(t, late, processes/10)
+}
