Give a request that is read half as its connection yields a quarter of a second

Cause: yield() left a connection in the midst of a request 20 ms from another goroutine's clock; where its own was held up for so long, a request that had come whole was answered 408. Change: 250 ms (silentYields, after which such connections yield anyway).

--- a/httpwire/server.go
+++ b/httpwire/server.go
@@ -281,8 +281,8 @@
 	}
 	x.yielded = true
 	s.extra++
-	if x.state == reading {
-		x.nc.SetReadDeadline(time.Now().Add(lastLook))
+	if x.state == reading { // what was read of it can't be looked at again, and its goroutine may be held up
+		x.nc.SetReadDeadline(time.Now().Add(silentYields))
 	} else {
 		x.nc.SetReadDeadline(longAgo)
 	}
@@ -412,7 +412,7 @@
 		s.set(x, reading)
 		switch {
 		case x.yielded:
-			x.nc.SetReadDeadline(time.Now().Add(lastLook))
+			x.nc.SetReadDeadline(time.Now().Add(silentYields))
 		case !first || ours:
 			x.nc.SetReadDeadline(after(s.ReadLimit, readLimit))
 		}
--- a/httpwire/server_test.go
+++ b/httpwire/server_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -351,6 +352,42 @@
 	}
 }
 
+// A connection yields whose request is read half, while its goroutine is held up and the rest comes: it is answered.
+func TestRequestThatIsReadHalfAsItsConnectionYieldsIsAnswered(t *testing.T) {
+	hold, reached, yielded := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	var reads int
+	var yields atomic.Bool
+	once := sync.OnceFunc(func() { close(yielded) })
+	g := newGate(t, &hooks{
+		read: func() {
+			if reads++; reads == 2 {
+				close(reached)
+				<-hold
+			}
+		},
+		end: once,
+		deadline: func(_ time.Time, set func()) {
+			if set(); yields.Load() {
+				once()
+			}
+		},
+	})
+	s := &httpwire.Server{Log: standin.Log(), MaxConns: 1, Handle: func(*httpwire.Exchange) *httpwire.Reply { return &httpwire.Reply{Status: 200} }}
+	go s.Serve(g)
+	t.Cleanup(s.Close)
+	cl := standin.Dial(t, g.Addr().String())
+	cl.Write([]byte("GET / HTTP/1.1\r\n"))
+	<-reached
+	yields.Store(true)
+	other := standin.Dial(t, g.Addr().String())
+	<-yielded
+	cl.Write([]byte("\r\n"))
+	time.Sleep(60 * time.Millisecond) // three times a last look
+	close(hold)
+	assert.Equal(t, 200, cl.Read().Status)
+	assert.Equal(t, 200, status(other, "/"))
+}
+
 // The system has accepted a connection, with its request, that the server has not when it closes.
 func TestConnectionThatWaitsToBeAcceptedIsServed(t *testing.T) {
 	hold := make(chan struct{})
