Begin nothing after its time, and mark all queries of a client that left at once

Change: Begin looks at Until, with the one clock reading it had for windows; Cancel takes many and marks all before it waits.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -135,10 +135,11 @@
 )
 
 // Begin is called before the first byte is written. False means that it must not be written: it was given up, its
-// client has left, or it comes too late to be a repeat that the stores still drop. What was not begun has never run,
-// whatever becomes of it.
+// client has left or waits no longer, or it comes too late to be a repeat that the stores still drop. What was not begun
+// has never run, whatever becomes of it.
 func (a *Attempt) Begin() bool {
-	if a.Query.canceled.Load() || !a.RepeatBy.IsZero() && !time.Now().Before(a.RepeatBy) {
+	now := time.Now()
+	if a.Query.canceled.Load() || !now.Before(a.Until) || !a.RepeatBy.IsZero() && !now.Before(a.RepeatBy) {
 		return false
 	}
 	return a.state.CompareAndSwap(queued, begun)
@@ -291,11 +292,15 @@
 // Submit hands in a query. Its Sink gets exactly one final answer, unless the broker was closed.
 func (b *Broker) Submit(q *Query) bool { return b.post(q) }
 
-// Cancel tells that the client of a query left: no attempt of it begins any more, however long the owner's queue is.
-// A final answer may still come if it was on its way.
-func (b *Broker) Cancel(q *Query) {
-	q.canceled.Store(true)
-	b.post(cancel{q})
+// Cancel tells that the client of some queries left: no attempt of any of them begins any more, however long the owner's
+// queue is. A final answer may still come if it was on its way.
+func (b *Broker) Cancel(queries ...*Query) {
+	for _, q := range queries {
+		q.canceled.Store(true)
+	}
+	for _, q := range queries { // each may wait for the owner
+		b.post(cancel{q})
+	}
 }
 
 // Members hands in the whole server list as it now is.
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -280,6 +280,86 @@
 	}
 }
 
+// Many queries of one client are all marked before word of the first waits for an owner that is held up.
+func TestNothingIsBegunOfManyQueriesOfAClientThatLeft(t *testing.T) {
+	to := &transport{sent: make(chan *Attempt, 64), given: make(chan *Attempt, 64)}
+	held, release := make(chan *Attempt), make(chan struct{})
+	calls := 0
+	to.sending = func(a *Attempt) {
+		if calls++; calls == 2 {
+			held <- a
+			<-release
+		}
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	b, err := New(Config{Settings: settings(policy.Safe), Transport: to, Log: logrus.NewEntry(log), Queue: 1})
+	require.NoError(t, err)
+	t.Cleanup(b.Close)
+	b.Members([]policy.Server{{ID: 1, Presence: policy.Ready}, {ID: 2, Presence: policy.Ready}})
+	first, _ := submit(b, time.Second)
+	waits := <-to.sent
+	second, _ := submit(b, time.Second)
+	last := <-held
+	submit(b, time.Second) // fills the owner's queue
+	done := make(chan struct{})
+	go func() { b.Cancel(first, second); close(done) }()
+	assert.Eventually(t, second.canceled.Load, 5*time.Second, time.Millisecond)
+	assert.False(t, waits.Begin())
+	assert.False(t, last.Begin())
+	select {
+	case <-done:
+		assert.Fail(t, "the owner was not held up")
+	default:
+	}
+	close(release)
+	<-done
+}
+
+// An attempt for which nobody waits any longer is not begun, though the owner has yet to come to its timer.
+func TestNothingIsBegunAfterItsTime(t *testing.T) {
+	b, to := start(t, settings(policy.Safe))
+	began := make(chan bool, 1)
+	to.sending = func(a *Attempt) {
+		time.Sleep(time.Until(a.Until)) // the rule is about time
+		began <- a.Begin()
+	}
+	submit(b, 100*time.Millisecond)
+	assert.False(t, <-began)
+}
+
+// A second copy is due, and its client leaves between the decision to send it and the write.
+func TestNoSecondCopyIsBegunForAClientThatLeft(t *testing.T) {
+	set := settings(policy.Safe)
+	set.SecondCopies = true
+	b, to := start(t, set)
+	for range 20 { // what the stores take is learned
+		_, s := submit(b, time.Second)
+		a := <-to.sent
+		require.True(t, a.Begin())
+		served(a)
+		require.Equal(t, Served, (<-s).Ending)
+	}
+	var q *Query
+	to.sending = func(a *Attempt) {
+		if a.try == 1 {
+			b.Cancel(q)
+			assert.False(t, a.Begin(), "the owner has yet to hear of it")
+		}
+	}
+	s := make(sink, 8)
+	q = &Query{ID: "q", Deadline: time.Now().Add(time.Second), Parts: []Part{{Weight: 1}}, Sink: s}
+	require.True(t, b.Submit(q))
+	require.True(t, (<-to.sent).Begin())
+	second := <-to.sent
+	assert.Equal(t, 1, second.try)
+	assert.False(t, second.Begin())
+	for range 2 { // both are given up
+		<-to.given
+	}
+	assert.Empty(t, s)
+}
+
 // A keyed part that may have run is sent again within the time in which stores drop repeats only: to decide so in time is
 // not enough, since an attempt may wait for its connection.
 func TestRepeatIsNotBegunAfterItsWindow(t *testing.T) {
--- a/opensearch/front.go
+++ b/opensearch/front.go
@@ -208,15 +208,15 @@
 			return items
 		}
 		g.left.Store(int32(len(out)))
+		var queries []*broker.Query
 		for _, it := range out {
+			queries = append(queries, it.query)
 			if !f.broker.Submit(it.query) {
 				it.Final(broker.Answer{Ending: broker.Refused})
 			}
 		}
 		if x.Wait() {
-			for _, it := range out {
-				f.broker.Cancel(it.query)
-			}
+			f.broker.Cancel(queries...)
 			return nil
 		}
 		if !slices.ContainsFunc(out, func(it *item) bool { return it.answer.Moved }) {
