End connections to stores that left the list once what is out on them is given up

Cause, by reading and a probe: Follow takes the connections of a store that is delisted, has another address or another process out of the store, and Cancel looked for an attempt in the store's connections only. An attempt without an answer (a machine that vanished and was then taken from the list) stayed out on its connection for ever: closeIfIdle waits for busy to be 0, TCP says nothing, and the descriptor counted against the room for others until the process ended. The same way an attempt that was never written left an idle connection that nobody closed before the look at an eighth of the idle time. Change: the pool keeps such connections until they end, and gives attempts up there, too; a writer with nothing left on a connection that takes nothing new closes it.

--- a/storepool/conn.go
+++ b/storepool/conn.go
@@ -191,6 +191,13 @@
 	}
 }
 
+// done tells that the connection takes nothing new and nothing is out on it any more.
+func (c *conn) done() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last && c.busy+len(c.out)+len(c.probes) == 0
+}
+
 // retire lets what is out come to its end and takes nothing new.
 func (c *conn) retire() {
 	c.mu.Lock()
@@ -309,6 +316,10 @@
 	var buf []byte
 	for {
 		it, ok := c.pop()
+		if !ok && c.done() {
+			c.close(errIdle)
+			return
+		}
 		if !ok {
 			select {
 			case <-c.gone:
--- a/storepool/conn_test.go
+++ b/storepool/conn_test.go
@@ -1,6 +1,8 @@
 package storepool
 
 import (
+	"bufio"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -195,3 +197,65 @@
 	close(hold)
 	assert.Eventually(t, func() bool { return open() == 0 }, 5*time.Second, time.Millisecond)
 }
+
+// What is out at a store when the list takes it away may never be answered: its machine has vanished. Once it is given up,
+// and so is what was not written, the connection ends, whatever the change was. Else each such store would hold a
+// descriptor for good.
+func TestConnectionToAStoreThatLeftEndsWithWhatIsOut(t *testing.T) {
+	changed := func(by func(*Store)) func(Store) []Store { return func(s Store) []Store { by(&s); return []Store{s} } }
+	for name, list := range map[string]func(Store) []Store{
+		"not listed":      func(Store) []Store { return nil },
+		"drains":          changed(func(s *Store) { s.Presence = policy.Draining }),
+		"another address": changed(func(s *Store) { s.Addr = "127.0.0.1:1" }),
+		"another process": changed(func(s *Store) { s.Started = time.Now().Add(time.Hour).UnixMicro() }),
+	} {
+		for _, written := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, written: %v", name, written), func(t *testing.T) {
+				s := standin.NewFrameStore(t)
+				s.SetFault(standin.Silent)
+				p := New(Limits{ConnectTimeout: 5_000_000, ConnIdle: time.Hour.Microseconds(), Streams: 32}, frames{}, standin.Log())
+				t.Cleanup(p.Close)
+				began, hold := make(chan struct{}, 1), make(chan struct{})
+				p.DialBy(func(addr string, limit time.Duration) (net.Conn, error) {
+					began <- struct{}{}
+					<-hold
+					return net.DialTimeout("tcp", addr, limit)
+				})
+				ready := Store{Name: "s", Addr: s.Addr, Server: policy.Server{ID: 1, Presence: policy.Ready}}
+				p.Follow([]Store{ready})
+				to, _ := attempts(t)
+				a := <-to
+				require.NoError(t, p.Send(1, []*broker.Attempt{a}))
+				<-began
+				if written {
+					close(hold)
+					standin.Next(t, s)
+					p.Follow(list(ready))
+					p.Cancel(a)
+				} else {
+					p.Follow(list(ready))
+					close(hold)
+				}
+				select {
+				case <-s.Gone:
+				case <-time.After(5 * time.Second):
+					assert.Fail(t, "it is held")
+				}
+				assert.Eventually(t, func() bool { p.mu.Lock(); defer p.mu.Unlock(); return p.open == 0 }, 5*time.Second, time.Millisecond)
+			})
+		}
+	}
+}
+
+// frames is as much of the platform's codec as a call takes.
+type frames struct{}
+
+func (frames) AppendCall(to []byte, _ Store, call []*broker.Attempt, _ time.Time) []byte {
+	text := "1" + PartID(call[0]) + " 0 d=1 0\n"
+	return append(binary.BigEndian.AppendUint32(to, uint32(len(text))), text...)
+}
+func (frames) AppendCancel(to []byte, id string) []byte {
+	return append(binary.BigEndian.AppendUint32(to, uint32(len(id)+1)), "2"+id...)
+}
+func (frames) AppendProbe(to []byte) []byte          { return to }
+func (frames) Read(r *bufio.Reader) (Message, error) { _, err := r.ReadByte(); return Message{}, err }
--- a/storepool/pool.go
+++ b/storepool/pool.go
@@ -95,8 +95,11 @@
 	mu     sync.Mutex
 	dial   Dial
 	stores map[uint32]*store
-	open   int // connections, those that are to end included
-	closed bool
+	// leaving are connections to stores, or to processes of them, that the list has no more. They take nothing new and end
+	// once what is out on them has.
+	leaving []*conn
+	open    int // connections, those that are to end included
+	closed  bool
 }
 
 // Dial opens a connection to an address within a limit.
@@ -184,6 +187,7 @@
 			delete(p.stores, id)
 		}
 	}
+	p.leaving = append(p.leaving, retire...)
 	p.mu.Unlock()
 	for _, c := range drop {
 		c.stopSending()
@@ -264,13 +268,12 @@
 func (p *Pool) Cancel(a *broker.Attempt) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	var own []*conn
 	if st := p.stores[a.Server]; st != nil {
-		for _, c := range st.conns {
-			if c.cancel(a) {
-				return
-			}
-		}
+		own = st.conns
 	}
+	on := func(c *conn) bool { return c.cancel(a) }
+	_ = slices.ContainsFunc(own, on) || slices.ContainsFunc(p.leaving, on)
 }
 
 // CloseIdle closes the idle connections to a store.
@@ -305,7 +308,7 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
-	var all []*conn
+	all := slices.Clone(p.leaving)
 	for _, st := range p.stores {
 		all = append(all, st.conns...)
 	}
@@ -320,6 +323,9 @@
 func (p *Pool) forget(c *conn, broke bool) *seldom.Line {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if i := slices.Index(p.leaving, c); i >= 0 {
+		p.leaving = slices.Delete(p.leaving, i, i+1)
+	}
 	st := p.stores[c.to.ID]
 	if st == nil {
 		return nil
