--- a/alderproxy_test.go
+++ b/alderproxy_test.go
@@ -104,7 +104,7 @@
 
 // Go ends a process on a SIGHUP that nobody takes. It must move the watch and keep every open request; a file that
 // can't be used must change nothing.
-func TestHangUpMovesTheWatchAndKeepsOpenRequests(t *testing.T) {
+func TestSIGHUPMovesTheWatchAndKeepsOpenRequests(t *testing.T) {
 	s := standin.NewFrameStore(t)
 	entry := standin.Entry("s-1", s, "in_service")
 	old, moved := standin.NewDiscovery(t, entry), standin.NewDiscovery(t, entry)
@@ -160,7 +160,7 @@
 
 // The settings of another customer come with SIGHUP: from then on none of the old ones is in force, and what was taken by
 // them is answered by them. Settings that cannot be served change nothing.
-func TestSettingsAtHangUpTakeThePlaceOfAllOldOnes(t *testing.T) {
+func TestSettingsAtSIGHUPTakeThePlaceOfAllOldOnes(t *testing.T) {
 	s := standin.NewFrameStore(t)
 	d := standin.NewDiscovery(t, standin.Entry("s-1", s, "in_service"))
 	c, path, cl, lines := running(t, settings(d))
--- a/broker/broker.go
+++ b/broker/broker.go
@@ -578,7 +578,7 @@
 			b.finish(act.Query, Answer{Ending: Refused, ComeBack: span(act.ComeBack)}, now)
 		case policy.Fail:
 			b.finish(act.Query, Answer{Ending: Failed}, now)
-		case policy.HangUp:
+		case policy.CloseIdle:
 			b.to.CloseIdle(act.Server)
 		case policy.Probe:
 			b.probe(act.Server, now)
--- a/internal/simnet/simfleet/fleet.go
+++ b/internal/simnet/simfleet/fleet.go
@@ -343,7 +343,7 @@
 			n.end(n.open[act.Query], false, true)
 		case policy.Probe:
 			n.probe(act.Server)
-		case policy.HangUp:
+		case policy.CloseIdle:
 			delete(n.conns, act.Server)
 		case policy.Wake:
 			f.Net.After(n.me, act.After, func() { n.step(policy.Timer{}) })
--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -110,8 +110,8 @@
 		e.begin(acSubscribe)
 	case Snapshot:
 		e.begin(acSnapshot)
-	case policy.HangUp:
-		e.begin(acHangUp)
+	case policy.CloseIdle:
+		e.begin(acCloseIdle)
 		e.u32(1, a.Server)
 	case Tell:
 		e.begin(acTell)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -45,7 +45,7 @@
 	acCancel    = 19
 	acWake      = 20
 	acProbe     = 21
-	acHangUp    = 22
+	acCloseIdle = 22
 	acTell      = 23
 	acLog       = 24
 	acCrash     = 25
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -174,7 +174,7 @@
 		{policy.Cancel{Part: id, Try: 1}, "13 c4913a5dbb660100 0100"},
 		{policy.Wake{After: 500000}, "14 20a10700"},
 		{policy.Probe{Server: 0x2c9011f2}, "15 f211902c"},
-		{policy.HangUp{Server: 0x2c9011f2}, "16 f211902c"},
+		{policy.CloseIdle{Server: 0x2c9011f2}, "16 f211902c"},
 		{Tell{0xffff, []byte("hi")}, "17 ffff 00000000 02000000"},
 		{policy.Log{Text: "ok"}, "18 00000000 02000000"},
 		{Crash{"no"}, "19 00000000 02000000"},
--- a/policy/api.go
+++ b/policy/api.go
@@ -264,8 +264,8 @@
 // Fail ends a query without any promise.
 type Fail struct{ Query uint64 }
 
-// HangUp closes the idle connections to a server, so that the next Send opens a new one.
-type HangUp struct{ Server uint32 }
+// CloseIdle closes the idle connections to a server, so that the next Send opens a new one.
+type CloseIdle struct{ Server uint32 }
 
 // Probe asks a server how it is.
 type Probe struct{ Server uint32 }
@@ -284,7 +284,7 @@
 func (Answer) action()    {}
 func (Refuse) action()    {}
 func (Fail) action()      {}
-func (HangUp) action()    {}
+func (CloseIdle) action() {}
 func (Probe) action()     {}
 func (Wake) action()      {}
 func (Subscribe) action() {}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -737,7 +737,7 @@
 	}
 	test := s.doubt && (a.cured >= 0.5 || a.now-a.triedAt > Micros(a.beat))
 	if test || a.cured > curedAt && float64(t.idle) >= a.idleLimit() {
-		a.do(HangUp{Server: s.ID})
+		a.do(CloseIdle{Server: s.ID})
 		t.idle, t.cure, s.used, s.doubt, a.triedAt = 0, true, a.now, false, a.now
 	}
 	if p.tries > 0 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -550,7 +550,7 @@
 }
 
 // afterSilence leaves an aggregator's attempts on idle connections without answer and ends those on new ones as
-// told. It returns how many connections are hung up after that where no server is under suspicion itself.
+// told. It returns how many connections are closed after that where no server is under suspicion itself.
 func afterSilence(t *testing.T, again Status) int {
 	h := newHand(t, handSettings())
 	h.teach(0, 30, 100_000)
@@ -563,7 +563,7 @@
 			t.Fatalf("sent %+v, want one attempt", sent)
 		}
 		status := TimedOut
-		if len(pick[HangUp](h.log)) > 0 {
+		if len(pick[CloseIdle](h.log)) > 0 {
 			status = again
 		}
 		h.step(300_000, Outcome{Part: sent[0].Part, Server: sent[0].Server, Status: status, Report: NoReport})
@@ -585,11 +585,11 @@
 	if len(pick[Send](h.log)) == 0 {
 		t.Fatal("nothing was sent")
 	}
-	return len(pick[HangUp](h.log))
+	return len(pick[CloseIdle](h.log))
 }
 
 // Connections dropped unseen: silence on idle ones that ends on new ones condemns all idle ones. A server bad for
-// this aggregator alone loses new connections too, and then nothing is hung up.
+// this aggregator alone loses new connections too, and then nothing is closed.
 func TestIdleConnectionsAreClosedOnceProvenBad(t *testing.T) {
 	if n := afterSilence(t, OK); n == 0 {
 		t.Error("idle connections are still used though new ones to the same servers were answered")
@@ -624,7 +624,7 @@
 			}
 			h.step(0, Outcome{Part: s.Part, Server: s.Server, Status: OK, Report: NoReport})
 		}
-		hung += len(pick[HangUp](h.log))
+		hung += len(pick[CloseIdle](h.log))
 	}
 	if hung > 3 {
 		t.Errorf("%d of 60 idle connections closed, though each was answered on", hung)
