Rename the event ClientGone to ClientCanceled

Need: a client that leaves cancels its request, in the field's words; Gone is the state of a server that the list has no more. Change: policy.ClientCanceled, evClientCanceled, a test's name. Wire codes stay.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -378,7 +378,7 @@
 		b.takeQuery(it, now)
 	case cancel:
 		if q := b.byQuery[it.q]; q != nil {
-			b.emit(policy.ClientGone{Query: q.id})
+			b.emit(policy.ClientCanceled{Query: q.id})
 			b.forget(q, now)
 		}
 	case finished:
@@ -469,7 +469,7 @@
 	if more, due := b.cutOffs.Due(now); due {
 		b.log.WithFields(logrus.Fields{"query": q.ID, "refused": ending == Refused, "more": more}).Warn("query cut off at its end of time")
 	}
-	b.emit(policy.ClientGone{Query: q.id})
+	b.emit(policy.ClientCanceled{Query: q.id})
 	b.forget(q, now)
 	q.Sink.Final(Answer{Ending: ending, Late: true, Version: q.version})
 }
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -126,7 +126,7 @@
 	assert.True(t, (<-s).Late)
 }
 
-func TestClientGoneGivesUpItsAttempts(t *testing.T) {
+func TestClientThatLeftHasItsAttemptsCanceled(t *testing.T) {
 	b, to := start(t, settings(policy.Safe))
 	q, s := submit(b, time.Second)
 	a := <-to.sent
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -23,18 +23,18 @@
 
 // Codes of the events.
 const (
-	evRequest     = 16
-	evInventory   = 17
-	evOutcome     = 18
-	evStreaming   = 19
-	evClientGone  = 20
-	evTimer       = 21
-	evProbeResult = 22
-	evMessage     = 23
-	evMembership  = 24
-	evHello       = 25
-	evTo          = 26
-	evDown        = 27
+	evRequest        = 16
+	evInventory      = 17
+	evOutcome        = 18
+	evStreaming      = 19
+	evClientCanceled = 20
+	evTimer          = 21
+	evProbeResult    = 22
+	evMessage        = 23
+	evMembership     = 24
+	evHello          = 25
+	evTo             = 26
+	evDown           = 27
 )
 
 // Codes of the actions.
@@ -211,8 +211,8 @@
 			firstError(err, checkStatus(rec[15]))
 	case evStreaming:
 		return Streaming{Part: rec.u64(1), Try: int(rec.u16(13)), Server: rec.u32(15)}, nil
-	case evClientGone:
-		return policy.ClientGone{Query: rec.u64(1)}, nil
+	case evClientCanceled:
+		return policy.ClientCanceled{Query: rec.u64(1)}, nil
 	case evTimer:
 		return policy.Timer{}, nil
 	case evProbeResult:
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -64,7 +64,7 @@
 		{"part", "10 c4913a5dbb660100 0000 0000 640ad2557c3bf091 da05840000000000 e02e0000 00005643 00000000 0000003e 0100", nil,
 			policy.Part{ID: 0x166bb5d3a91c4, Number: 0x43560000, Key: 0x91f03b7c55d20a64, Weight: 0.125, Hint: 12_000}},
 		{"timer", "15 4d000000", nil, policy.Timer{}},
-		{"client gone", "14 192b6f0e0f5a0300", nil, policy.ClientGone{Query: 0x35a0f0e6f2b19}},
+		{"client gone", "14 192b6f0e0f5a0300", nil, policy.ClientCanceled{Query: 0x35a0f0e6f2b19}},
 		{"outcome", "12 c4913a5dbb660100 0100 074a1203 05 44480000 01 02 0000803f 00000040", nil,
 			Answered{Outcome: policy.Outcome{Part: 0x166bb5d3a91c4, Try: 1, Server: 0x03124a07, Status: policy.Unconnected,
 				Elapsed: 0x4844}, Figures: []float32{1, 2}, Over: true}},
--- a/policy/api.go
+++ b/policy/api.go
@@ -219,18 +219,18 @@
 // Timer answers a Wake.
 type Timer struct{}
 
-// ClientGone says that the client of a query left: the query is over, no answer is owed.
-type ClientGone struct{ Query uint64 }
-
-func (Members) event()     {}
-func (Reconfigure) event() {}
-func (ListFailed) event()  {}
-func (Query) event()       {}
-func (Part) event()        {}
-func (Outcome) event()     {}
-func (ProbeResult) event() {}
-func (Timer) event()       {}
-func (ClientGone) event()  {}
+// ClientCanceled says that the client of a query left: the query is over, no answer is owed.
+type ClientCanceled struct{ Query uint64 }
+
+func (Members) event()        {}
+func (Reconfigure) event()    {}
+func (ListFailed) event()     {}
+func (Query) event()          {}
+func (Part) event()           {}
+func (Outcome) event()        {}
+func (ProbeResult) event()    {}
+func (Timer) event()          {}
+func (ClientCanceled) event() {}
 
 // Action is something to do, in the order given. It is one of the types below that name themselves so.
 type Action interface{ action() }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -243,7 +243,7 @@
 		a.outcome(e)
 	case ProbeResult:
 		a.probed(e)
-	case ClientGone:
+	case ClientCanceled:
 		if q := a.queries[e.Query]; q != nil {
 			a.close(q)
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -799,7 +799,7 @@
 func TestBadInputIsOfNoMatter(t *testing.T) {
 	h := newHand(t, handSettings())
 	h.step(0, Outcome{Part: 1, Server: 1}, Outcome{Server: 77}, ProbeResult{Server: 1}, ProbeResult{Server: 77},
-		ClientGone{5}, Part{ID: 3, Number: 99}, ListFailed{}, Timer{})
+		ClientCanceled{5}, Part{ID: 3, Number: 99}, ListFailed{}, Timer{})
 	id, events := h.query(0, 1)
 	events = append(events, events[0], events[1], Part{ID: 4, Number: id, Shard: -1}, Part{ID: 5, Number: id, Shard: 99},
 		Part{ID: 6, Number: id, Weight: math.NaN()})
