Rename the stand-in store's Gone to Closed

Need: it counts connections that have closed; Gone is the state of a server that the list has no more. Change: the field and its users in tests.

--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -86,14 +86,14 @@
 	Addr  string
 	Parts chan string // what came, in order: the frame's text, or a search's line and body
 
-	mu    sync.Mutex
-	fault Fault
-	only  string        // the slice that has the fault; empty: all
-	hold  chan struct{} // answers wait until it is closed; nil: they don't
-	l     net.Listener
-	ended chan struct{} // the listener is closed for good
-	conns map[net.Conn]bool
-	Gone  chan struct{} // gets one for each connection that has ended
+	mu     sync.Mutex
+	fault  Fault
+	only   string        // the slice that has the fault; empty: all
+	hold   chan struct{} // answers wait until it is closed; nil: they don't
+	l      net.Listener
+	ended  chan struct{} // the listener is closed for good
+	conns  map[net.Conn]bool
+	Closed chan struct{} // gets one for each connection that has ended
 }
 
 // SetFault changes what the store does from now on.
@@ -148,7 +148,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := &Store{Addr: l.Addr().String(), l: l, Parts: make(chan string, 256), conns: map[net.Conn]bool{},
-		Gone: make(chan struct{}, 256), ended: make(chan struct{})}
+		Closed: make(chan struct{}, 256), ended: make(chan struct{})}
 	t.Cleanup(func() { s.SetFault(Down) })
 	go func() {
 		defer close(s.ended)
@@ -167,7 +167,7 @@
 					delete(s.conns, c)
 					s.mu.Unlock()
 					select {
-					case s.Gone <- struct{}{}:
+					case s.Closed <- struct{}{}:
 					default: // nobody counts them
 					}
 				}()
--- a/opensearch/opensearch_test.go
+++ b/opensearch/opensearch_test.go
@@ -386,7 +386,7 @@
 	c := r.ask(t, "/catalogue/_search", `{}`)
 	standin.Next(t, r.stores[0])
 	c.Close()
-	<-r.stores[0].Gone
+	<-r.stores[0].Closed
 }
 
 // A client leaves while its searches wait for a connection to come up: they never go out.
--- a/storepool/conn_test.go
+++ b/storepool/conn_test.go
@@ -237,7 +237,7 @@
 					close(hold)
 				}
 				select {
-				case <-s.Gone:
+				case <-s.Closed:
 				case <-time.After(5 * time.Second):
 					assert.Fail(t, "it is held")
 				}
