Look whether a client has left before its request is handed in

Cause: Front.submit and front.run handed a query in and looked for the client's leaving behind it. It is one more system call a request; the look ahead while an answer is awaited stays, as a client may leave later. Not taken: a look for each request in the server itself, which would take answers from clients that end their side early where nothing is begun for them (errors, health calls).

--- a/httpwire/server.go
+++ b/httpwire/server.go
@@ -83,6 +83,7 @@
 	Start time.Time // when the request's first byte had come
 
 	nc      net.Conn
+	in      *source
 	r       *bufio.Reader
 	began   time.Time // when the client connected
 	state   state     // guarded by the server's lock, as are the next two
@@ -108,6 +109,63 @@
 	x.wake, x.woken, x.once = make(chan struct{}), make(chan struct{}), &sync.Once{}
 }
 
+// source reads a connection for its buffer, and may be told to take only what has come.
+type source struct {
+	net.Conn
+	raw    syscall.RawConn // nil: there is none
+	atOnce bool
+}
+
+// errNothingYet is that nothing has come where reads do not wait.
+var errNothingYet = errors.New("nothing has come yet")
+
+func newSource(nc net.Conn) *source {
+	s := &source{Conn: nc}
+	if sys, ok := nc.(syscall.Conn); ok {
+		s.raw, _ = sys.SyscallConn()
+	}
+	return s
+}
+
+func (s *source) Read(b []byte) (n int, err error) {
+	if !s.atOnce {
+		return s.Conn.Read(b)
+	}
+	if s.raw == nil {
+		return 0, errNothingYet
+	}
+	look := func(fd uintptr) bool {
+		for n, err = syscall.Read(int(fd), b); errors.Is(err, syscall.EINTR); n, err = syscall.Read(int(fd), b) {
+		}
+		return true
+	}
+	switch closed := s.raw.Read(look); {
+	case closed != nil:
+		return 0, closed
+	case errors.Is(err, syscall.EAGAIN):
+		return 0, errNothingYet
+	case err != nil:
+		return 0, err
+	case n == 0 && len(b) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// Left tells, without waiting, that the client has left already. A process that was held up comes late to requests, and one
+// is not to be begun for whoever has gone. Behind more than a buffer that was sent ahead it may be hidden: Wait looks past
+// that.
+func (x *Exchange) Left() bool {
+	x.nc.SetReadDeadline(time.Now().Add(time.Minute))
+	x.in.atOnce = true
+	defer func() { x.in.atOnce = false }()
+	var err error
+	for err == nil {
+		_, err = x.r.Peek(x.r.Buffered() + 1)
+	}
+	return !errors.Is(err, errNothingYet) && !errors.Is(err, bufio.ErrBufferFull)
+}
+
 // mostAhead is how much a client may send ahead of the answer to its open request and still have it read as requests.
 const mostAhead = 16 << 10
 
@@ -213,7 +271,8 @@
 // begin serves a connection, or turns it away.
 func (s *Server) begin(nc net.Conn) {
 	now := time.Now()
-	x := &Exchange{nc: nc, r: bufio.NewReaderSize(nc, 4<<10), began: now, since: now}
+	in := newSource(nc)
+	x := &Exchange{nc: nc, in: in, r: bufio.NewReaderSize(in, 4<<10), began: now, since: now}
 	s.mu.Lock()
 	full := s.MaxConns > 0 && !s.makeRoom(s.MaxConns)
 	drop := full && s.extra >= max(1, s.MaxConns/8)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -500,6 +501,80 @@
 	return &Client{c, bufio.NewReader(c), t}
 }
 
+// lateReads is a listener whose connections wait before each read: before tells which one it is.
+type lateReads struct {
+	*net.TCPListener
+	before func(c *net.TCPConn, read int)
+}
+
+type lateConn struct {
+	*net.TCPConn
+	l     lateReads
+	reads int
+}
+
+func (l lateReads) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &lateConn{TCPConn: c, l: l}, nil
+}
+
+func (c *lateConn) Read(b []byte) (int, error) {
+	c.reads++
+	c.l.before(c.TCPConn, c.reads)
+	return c.TCPConn.Read(b)
+}
+
+// peerEnded tells that the other side has ended its side of a connection, whether or not what came before was read.
+func peerEnded(c *net.TCPConn) (ended bool) {
+	const closeWait = 8 // TCP_CLOSE_WAIT of Linux
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		state, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO) // its first byte
+		ended = err == nil && state&0xff == closeWait
+	})
+	return ended
+}
+
+// AskAndLeave has a server with a handle read a request once its client has left, as a process does that was held up. It
+// returns when the request is over, or is waited for: what further reads there are wait until release is called.
+func AskAndLeave(t *testing.T, handle func(*httpwire.Exchange) *httpwire.Reply, ask func(*Client)) (release func()) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	over, hold := make(chan struct{}), make(chan struct{})
+	end := sync.OnceFunc(func() { close(over) })
+	s := &httpwire.Server{Log: Log(), Handle: func(x *httpwire.Exchange) *httpwire.Reply {
+		defer end()
+		return handle(x)
+	}}
+	go s.Serve(lateReads{l.(*net.TCPListener), func(c *net.TCPConn, read int) {
+		if read == 1 {
+			for late := time.Now().Add(5 * time.Second); !peerEnded(c) && time.Now().Before(late); {
+				time.Sleep(time.Millisecond)
+			}
+			return
+		}
+		end()
+		<-hold
+	}})
+	release = sync.OnceFunc(func() { close(hold) })
+	t.Cleanup(func() { release(); s.Close() })
+	c := Dial(t, l.Addr().String())
+	ask(c)
+	c.Close()
+	select {
+	case <-over:
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "the request was not read")
+	}
+	return release
+}
+
 // Send writes a request.
 func (c *Client) Send(method, target, body string, header ...string) {
 	var h httpwire.Header
--- a/opensearch/front.go
+++ b/opensearch/front.go
@@ -207,6 +207,9 @@
 		if len(out) == 0 {
 			return items
 		}
+		if x.Left() {
+			return nil
+		}
 		g.left.Store(int32(len(out)))
 		var queries []*broker.Query
 		for _, it := range out {
--- a/opensearch/opensearch_test.go
+++ b/opensearch/opensearch_test.go
@@ -412,6 +412,21 @@
 	}
 }
 
+// A process that was held up reads searches whose client has left meanwhile: see the platform's test of this name.
+func TestRequestReadAfterItsClientHasLeftDoesNotGoOut(t *testing.T) {
+	r := start(t, 1000)
+	for target, body := range map[string]string{"/catalogue/_search": `{"size":7}`, "/_msearch": "{\"index\":\"catalogue\"}\n{\"size\":7}\n"} {
+		release := standin.AskAndLeave(t, r.server.Handle, func(c *standin.Client) { c.Send("POST", target, body) })
+		assert.Equal(t, 200, r.ask(t, "/catalogue/_search", `{"size":3}`).Read().Status)
+		for _, s := range r.stores {
+			for len(s.Parts) > 0 {
+				assert.NotContains(t, <-s.Parts, `"size":7`)
+			}
+		}
+		release()
+	}
+}
+
 func TestBadRequestsReachNoStore(t *testing.T) {
 	r := start(t, 1000)
 	for _, c := range []struct {
