--- a/httpwire/server_test.go
+++ b/httpwire/server_test.go
@@ -469,6 +469,30 @@
 	assert.True(t, s.Wait(5*time.Second))
 }
 
+// An answer is written that its client never reads, as the server closes: the others are served, and it ends with the time
+// that a write may take.
+func TestAnswerThatNobodyReadsHoldsUpNobody(t *testing.T) {
+	g := newGate(t, nil)
+	writes := make(chan struct{})
+	s := &httpwire.Server{Log: standin.Log(), WriteLimit: 300 * time.Millisecond, Handle: func(x *httpwire.Exchange) *httpwire.Reply {
+		if x.Path() == "/much" {
+			close(writes)
+			return &httpwire.Reply{Status: 200, Body: make([]byte, 64<<20)} // more than two systems' buffers hold
+		}
+		return &httpwire.Reply{Status: 200}
+	}}
+	go s.Serve(g)
+	t.Cleanup(s.Close)
+	other := standin.Dial(t, g.Addr().String())
+	require.Equal(t, 200, status(other, "/"))
+	standin.Dial(t, g.Addr().String()).Send("GET", "/much", "")
+	<-writes
+	other.Send("GET", "/", "")
+	s.Close()
+	assert.Equal(t, 200, other.Read().Status)
+	assert.True(t, s.Wait(5*time.Second))
+}
+
 // A request that comes in the very moment of the end is not answered and not passed on, and its client can tell: the
 // connection ends in order, where a close over what was not read would reset it.
 func TestRequestThatCrossesTheEndIsNotServed(t *testing.T) {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -104,11 +104,10 @@
 		<-s.ended
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.fault = f; f == Down {
-		for c := range s.conns {
-			c.Close()
-		}
+	s.fault = f
+	s.mu.Unlock()
+	if f == Down {
+		s.CloseConns()
 	}
 }
 
@@ -129,6 +128,15 @@
 	return sync.OnceFunc(func() { close(hold) })
 }
 
+// CloseConns ends the connections that are open, and not the listener.
+func (s *Store) CloseConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.Close()
+	}
+}
+
 // Conns is how many connections are open.
 func (s *Store) Conns() int {
 	s.mu.Lock()
@@ -527,8 +535,8 @@
 	return c.TCPConn.Read(b)
 }
 
-// peerEnded tells that the other side has ended its side of a connection, whether or not what came before was read.
-func peerEnded(c *net.TCPConn) (ended bool) {
+// PeerEnded tells that the other side has ended its side of a connection, whether or not what came before was read.
+func PeerEnded(c *net.TCPConn) (ended bool) {
 	const closeWait = 8 // TCP_CLOSE_WAIT of Linux
 	raw, err := c.SyscallConn()
 	if err != nil {
@@ -554,7 +562,7 @@
 	}}
 	go s.Serve(lateReads{l.(*net.TCPListener), func(c *net.TCPConn, read int) {
 		if read == 1 {
-			for late := time.Now().Add(5 * time.Second); !peerEnded(c) && time.Now().Before(late); {
+			for late := time.Now().Add(5 * time.Second); !PeerEnded(c) && time.Now().Before(late); {
 				time.Sleep(time.Millisecond)
 			}
 			return
