Have the toy world's discovery answer a watch in the time that it names

Seen, trying the README as a new user: queries are served, and the log says "discovery lost: the last list stands" from the second second on, "hear discovery: ... i/o timeout", calls=239 after 30 s. Cause: the toy's discovery waited 2 s whatever hold_ms said. Change: it waits for hold_ms.

--- a/example/toy/main.go
+++ b/example/toy/main.go
@@ -9,6 +9,8 @@
 	"io"
 	"log"
 	"net"
+	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -46,15 +48,17 @@
 	}
 }
 
-// discovery answers one call. Nothing ever changes, so a watch waits its time.
+// discovery answers one call. Nothing ever changes, so a watch waits for as long as it says.
 func discovery(c net.Conn, r *bufio.Reader) error {
 	req, err := httpwire.ReadRequest(r)
 	if err != nil {
 		return err
 	}
 	list := `{"version":1,"full":false,"servers":[]}`
-	if strings.Contains(req.Target, "from=1") {
-		time.Sleep(2 * time.Second)
+	if _, query, _ := strings.Cut(req.Target, "?"); strings.Contains(query, "from=1") {
+		values, _ := url.ParseQuery(query) // what can't be read holds for no time
+		hold, _ := strconv.Atoi(values.Get("hold_ms"))
+		time.Sleep(time.Duration(hold) * time.Millisecond)
 	} else {
 		entry := `{"id":"s-%d","addr":"127.0.0.1:860%d","zone":"a","kind":"toy","cell":0,"state":"in_service","weight":1,"started_ms":0}`
 		list = fmt.Sprintf(`{"version":1,"full":true,"servers":[`+entry+","+entry+`]}`, 1, 1, 2, 2)
