--- a/review/1/standin/main.go
+++ b/review/1/standin/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -117,7 +118,13 @@
 // search makes one search and checks its hits.
 func search(r *harness.Run, httpClient *http.Client, front, name string, total *counts) {
 	body := fmt.Sprintf(`{"query":{"match":{"name":%q}},"size":%d}`, name, shards*hitsPerPart)
-	resp, err := httpClient.Post("http://"+front+"/catalogue/_search", "application/json", strings.NewReader(body))
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+front+"/catalogue/_search", strings.NewReader(body))
+	if err != nil {
+		r.Logf("%s: %v", name, err)
+		return
+	}
+	request.Header.Set("Content-Type", "application/json")
+	resp, err := httpClient.Do(request)
 	if err != nil {
 		total.unserved.Add(1)
 		r.Logf("%s: %v", name, err)
--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -132,7 +132,7 @@
 func (r *Run) Logf(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.record, "%7d ms  %s\n", time.Since(r.started).Milliseconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(r.record, "%7d ms  %s\n", time.Since(r.started).Milliseconds(), fmt.Sprintf(format, args...))
 }
 
 // WriteFile writes a file into the temporary folder and returns its path.
@@ -207,7 +207,7 @@
 }
 
 func health(addr string) (status string, err error) {
-	conn, err := net.DialTimeout("tcp", addr, time.Second)
+	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(context.Background(), "tcp", addr)
 	if err != nil {
 		return "", err
 	}
