Show that noise in a store's answer reaches clients as a value that no store made

Seen: bytes that are no UTF-8 become U+FFFD on the way, in answers and in a client's filter, and the query is served.

--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -40,6 +40,8 @@
 	Addr string
 	Cell int
 	Work time.Duration
+	// MakeValue returns the value for a part. If it is nil, the value is that of Value.
+	MakeValue func(Part) string
 	// OnPart is called for each part that arrives. It returns false if the store must not answer the part.
 	OnPart func(Part) bool
 }
@@ -94,7 +96,11 @@
 					continue
 				}
 				time.AfterFunc(s.Work, func() {
-					send(frameAnswer, part.ID+" S 1840277719 qps=5,queue=0\n"+Value(part.Shard, part.Filter))
+					value := Value(part.Shard, part.Filter)
+					if s.MakeValue != nil {
+						value = s.MakeValue(part)
+					}
+					send(frameAnswer, part.ID+" S 1840277719 qps=5,queue=0\n"+value)
 				})
 			}
 		}
@@ -133,6 +139,8 @@
 // Discovery is a stand-in for the agent that lists stores.
 type Discovery struct {
 	Addr string
+	// OnAnswer is called with each answer before it is written. It must be set before the first call.
+	OnAnswer func(text []byte)
 
 	mu      sync.Mutex
 	version int
@@ -186,7 +194,11 @@
 			}
 		}
 	}
-	_, _ = w.Write(d.List(since, isWatch)) // a caller that has gone needs no answer
+	text := d.List(since, isWatch)
+	if d.OnAnswer != nil {
+		d.OnAnswer(text)
+	}
+	_, _ = w.Write(text) // a caller that has gone needs no answer
 }
 
 // List returns the list of the stores, or the changes since a version.
