Show that clients which stop in their requests take the gatherer over its memory limit

Seen: unfinished requests hold some 300 KB each and nothing bounds their sum; 300 of them take a gatherer of 64 MB over its limit within a second, and the platform kills it with the open queries of usual clients.

--- a/review/2/standin/main.go
+++ b/review/2/standin/main.go
@@ -1,8 +1,10 @@
-// Command standin plays case 2: a store some of whose answers hold noise in place of the value.
+// Command standin plays case 2: some hundred clients that stop in the middle of a request and stay, beside usual clients. The
+// stand-in for the platform kills the gatherer if it goes over its limit on memory, as the pages state.
 package main
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,66 +15,104 @@
 
 const (
 	work = 120 * time.Millisecond
-	// badStore is the store that spoils answers: one of every noiseEvery.
-	badStore   = "s-1"
-	noiseEvery = 5
-	// noise is what stands in place of a value. It is no text in UTF-8, so that no JSON string can hold it.
-	noise = "\xff\x9c\xfe\x80\xc3\x28\xf5\xff\x81\xfe"
+
+	// badClients is the number of bad clients, each with one connection. It is under half of the gatherer's descriptors.
+	badClients = 300
+	// headerLines short header lines give a head under 16 KB, and the body stays under the 64 KiB that the protocol allows.
+	headerLines = 4000
+	bodyBytes   = 64000
+	sentBytes   = 63000
+	// owedWithin is the time in which a bad client is owed an error or a close.
+	owedWithin = 3 * time.Second
 
 	clients      = 16
 	clientPause  = 600 * time.Millisecond
+	quietBefore  = 3 * time.Second
 	playDuration = 15 * time.Second
 )
 
 func main() { harness.Main(play) }
 
 func play(r *harness.Run) (broken bool, err error) {
-	var spoilt, answers atomic.Int64
-	fleet, err := r.StartFleet(func(s *harness.Store) {
-		s.Work = work
-		if s.Name != badStore || !r.Trouble {
-			return
-		}
-		s.MakeValue = func(p harness.Part) string {
-			if answers.Add(1)%noiseEvery != 0 {
-				return harness.Value(p.Shard, p.Filter)
-			}
-			spoilt.Add(1)
-			r.Logf("store %s: answers part %s with noise %x", badStore, p.ID, noise)
-			return noise
-		}
-	})
+	fleet, err := r.StartFleet(func(s *harness.Store) { s.Work = work })
 	if err != nil {
 		return false, err
 	}
+	stop := make(chan struct{})
+	type memory struct {
+		peakKB int
+		killed bool
+	}
+	limited := make(chan memory, 1)
+	go func() {
+		peakKB, killed := r.LimitMemory(fleet.Program, harness.MemoryMB, stop)
+		limited <- memory{peakKB, killed}
+	}()
+	var group sync.WaitGroup
+	var bad badCounts
+	if r.Trouble {
+		time.AfterFunc(quietBefore, func() { r.Logf("%d clients begin to stop in the middle of their requests", badClients) })
+		for i := range badClients {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				time.Sleep(quietBefore)
+				runBadClient(fleet.Front, i, playDuration-quietBefore, &bad)
+			}()
+		}
+	}
 	var mu sync.Mutex
-	var served, altered, unserved int
+	var served, unserved int
 	harness.Load(fleet.Front, clients, clientPause, playDuration, func(q harness.Query, a harness.Answer, err error) {
 		mu.Lock()
 		defer mu.Unlock()
 		if err != nil || a.Status != 200 {
-			unserved++
-			r.Logf("client: %s: status %d, error %v", q.ID, a.Status, err)
+			if unserved++; unserved <= clients {
+				r.Logf("client: %s: status %d, error %v", q.ID, a.Status, err)
+			}
 			return
 		}
 		served++
-		var wrong []string
-		for _, shard := range q.Shards {
-			if value := a.Values[shard]; value != harness.Value(shard, q.Filter) {
-				wrong = append(wrong, fmt.Sprintf("shard %d: %q in place of %q", shard, value, harness.Value(shard, q.Filter)))
-			}
+	})
+	group.Wait()
+	close(stop)
+	m := <-limited
+	r.Logf("bad clients: %d requests begun, %d ended by an error or a close within %v, %d not",
+		bad.begun.Load(), bad.ended.Load(), owedWithin, bad.waiting.Load())
+	r.Logf("usual clients: %d queries served, %d not", served, unserved)
+	r.Logf("peak of the program's memory: %d KB of %d, killed for memory: %t", m.peakKB, harness.MemoryMB<<10, m.killed)
+	if !m.killed && fleet.Program.Exited() {
+		return false, fmt.Errorf("the program ended by itself")
+	}
+	return m.killed, nil
+}
+
+// badCounts counts the requests of bad clients.
+type badCounts struct{ begun, ended, waiting atomic.Int64 }
+
+// runBadClient connects, sends most of a request at full speed, and stays until it gets an error or a close; then the same again.
+func runBadClient(front string, number int, duration time.Duration, counts *badCounts) {
+	text := fmt.Sprintf("POST /price-lookup HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: bad%013x\r\nRequest-Timeout: 3.000\r\n"+
+		"Content-Length: %d\r\n%s\r\n%s", number, bodyBytes, strings.Repeat("a:\r\n", headerLines), strings.Repeat(" ", sentBytes))
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		conn, err := (&net.Dialer{Timeout: time.Second}).Dial("tcp", front)
+		if err != nil {
+			time.Sleep(clientPause) // the gatherer has gone
+			continue
 		}
-		if len(wrong) > 0 {
-			altered++
-			r.Logf("client: %s: status 200, entire %t, with values that no store made: %s", q.ID, a.Entire, strings.Join(wrong, "; "))
-			return
+		counts.begun.Add(1)
+		conn.SetDeadline(time.Now().Add(owedWithin))
+		_, _ = conn.Write([]byte(text)) // a close shows below
+		if _, err := conn.Read(make([]byte, 1)); err != nil && isTimeout(err) {
+			counts.waiting.Add(1)
+		} else {
+			counts.ended.Add(1)
 		}
-		r.Logf("client: %s: status 200, entire %t, all values as the stores made them", q.ID, a.Entire)
-	})
-	r.Logf("queries: %d served, %d of them with a value that no store made, %d not served", served, altered, unserved)
-	r.Logf("spoilt answers of %s: %d", badStore, spoilt.Load())
-	if served == 0 {
-		return false, fmt.Errorf("no query was served")
+		conn.Close()
 	}
-	return altered > 0, nil
+}
+
+func isTimeout(err error) bool {
+	netError, ok := err.(net.Error) //nolint:errorlint // the error of a read is not wrapped
+	return ok && netError.Timeout()
 }
--- a/review/harness/gatherer.go
+++ b/review/harness/gatherer.go
@@ -13,6 +13,13 @@
 	StoresPerCell = 2
 )
 
+// The gatherer's limits. They are those that the operators' bench states on one of its days (join+brink), and inside the
+// ranges of the pages: 32 to 192 MB, 256 to 1,024 descriptors.
+const (
+	MemoryMB    = 64
+	Descriptors = 672
+)
+
 // Fleet is one gatherer with its stores and its agent.
 type Fleet struct {
 	Front      string // the address for clients
@@ -57,7 +64,7 @@
 func (f *Fleet) WriteConfig(r *Run, d *Discovery) error {
 	text, err := json.Marshal(map[string]any{
 		"name": "n1", "listen": f.Front, "discovery": d.Addr, "seed": "8c1f30d27a5be964",
-		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": MemoryMB, "sockets": Descriptors},
 		"settings": settings(),
 	})
 	if err != nil {
--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -237,3 +238,49 @@
 	defer listener.Close()
 	return listener.Addr().String(), nil
 }
+
+// memoryInterval is the time between two looks at a program's memory.
+const memoryInterval = 20 * time.Millisecond
+
+// LimitMemory kills the program once it holds more memory than the limit, as the platform does. It counts anonymous memory
+// only, without the pages of files, until the channel is closed, and returns the peak and whether the program was killed.
+func (r *Run) LimitMemory(p *Program, limitMB int, stop <-chan struct{}) (peakKB int, killed bool) {
+	loggedKB := 0
+	for {
+		select {
+		case <-stop:
+			return peakKB, false
+		case <-time.After(memoryInterval):
+		}
+		held, err := anonymousMemory(p.command.Process.Pid)
+		if err != nil {
+			return peakKB, false // the program has ended
+		}
+		peakKB = max(peakKB, held)
+		if held > loggedKB+logStepKB {
+			loggedKB = held
+			r.Logf("platform: the program holds %d KB of %d", held, limitMB<<10)
+		}
+		if held > limitMB<<10 {
+			r.Logf("platform: the program holds %d KB, over its limit of %d KB: SIGKILL", held, limitMB<<10)
+			_ = p.Signal(syscall.SIGKILL)
+			return peakKB, true
+		}
+	}
+}
+
+// logStepKB is the growth of a program's memory from which a line is written to the record.
+const logStepKB = 4 << 10
+
+// anonymousMemory returns the anonymous resident memory of a process in KB.
+func anonymousMemory(pid int) (kilobytes int, err error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	match := regexp.MustCompile(`RssAnon:\s+(\d+) kB`).FindSubmatch(status)
+	if match == nil {
+		return 0, errors.New("no RssAnon")
+	}
+	return strconv.Atoi(string(match[1]))
+}
