--- a/review/2/standin/main.go
+++ b/review/2/standin/main.go
@@ -63,7 +63,8 @@
 	}
 	var mu sync.Mutex
 	var served, unserved int
-	harness.Load(fleet.Front, clients, clientPause, playDuration, func(q harness.Query, a harness.Answer, err error) {
+	load := harness.UsualLoad{Clients: clients, Pause: clientPause, Duration: playDuration}
+	load.Run(fleet.Front, func(q harness.Query, a harness.Answer, err error) {
 		mu.Lock()
 		defer mu.Unlock()
 		if err != nil || a.Status != 200 {
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -98,21 +98,33 @@
 	return answer, err
 }
 
-// Load runs usual clients for a time. Each makes a query, passes its answer to check, and pauses.
-func Load(front string, clients int, pause, duration time.Duration, check func(Query, Answer, error)) {
+// UsualLoad is a number of usual clients for a time. Each makes a query and pauses after its answer.
+type UsualLoad struct {
+	Clients  int
+	Pause    time.Duration
+	Duration time.Duration
+	// Before is called with each query before it is sent. It may be nil.
+	Before func(Query)
+}
+
+// Run runs the clients, and passes each answer to check.
+func (l UsualLoad) Run(front string, check func(Query, Answer, error)) {
 	var group sync.WaitGroup
-	end := time.Now().Add(duration)
-	for i := range clients {
+	end := time.Now().Add(l.Duration)
+	for i := range l.Clients {
 		group.Add(1)
 		go func() {
 			defer group.Done()
 			c := &Client{Front: front, Timeout: 3 * time.Second}
-			time.Sleep(pause * time.Duration(i) / time.Duration(clients))
+			time.Sleep(l.Pause * time.Duration(i) / time.Duration(l.Clients))
 			for n := 0; time.Now().Before(end); n++ {
 				q := Query{ID: fmt.Sprintf("9b1f%04x%08x", i, n), Filter: fmt.Sprintf("c41e%02x%04x", i, n), Shards: []int{0, 1, 2, 3}}
+				if l.Before != nil {
+					l.Before(q)
+				}
 				answer, err := c.Do(q)
 				check(q, answer, err)
-				time.Sleep(pause)
+				time.Sleep(l.Pause)
 			}
 		}()
 	}
--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -9,9 +9,11 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -76,9 +78,13 @@
 		broken, err := play(r)
 		results <- result{broken, err}
 	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	var outcome result
 	select {
 	case outcome = <-results:
+	case s := <-signals:
+		outcome.err = fmt.Errorf("the case was ended by the signal %v", s)
 	case <-time.After(maxDuration):
 		outcome.err = errors.New("the case took too long")
 	}
@@ -129,11 +135,13 @@
 	return status
 }
 
-// Logf writes a line to the record, with the time since the start of the run in milliseconds.
+// Logf writes a line to the record, with the time since the start of the run in milliseconds. It writes the path of the
+// temporary folder as TEMP.
 func (r *Run) Logf(format string, args ...any) {
+	line := strings.ReplaceAll(fmt.Sprintf(format, args...), r.TempDir, "TEMP")
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, _ = fmt.Fprintf(r.record, "%7d ms  %s\n", time.Since(r.started).Milliseconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(r.record, "%7d ms  %s\n", time.Since(r.started).Milliseconds(), line)
 }
 
 // WriteFile writes a file into the temporary folder and returns its path.
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -40,8 +40,6 @@
 	Addr string
 	Cell int
 	Work time.Duration
-	// MakeValue returns the value for a part. If it is nil, the value is that of Value.
-	MakeValue func(Part) string
 	// OnPart is called for each part that arrives. It returns false if the store must not answer the part.
 	OnPart func(Part) bool
 }
@@ -96,11 +94,7 @@
 					continue
 				}
 				time.AfterFunc(s.Work, func() {
-					value := Value(part.Shard, part.Filter)
-					if s.MakeValue != nil {
-						value = s.MakeValue(part)
-					}
-					send(frameAnswer, part.ID+" S 1840277719 qps=5,queue=0\n"+value)
+					send(frameAnswer, part.ID+" S 1840277719 qps=5,queue=0\n"+Value(part.Shard, part.Filter))
 				})
 			}
 		}
