--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -103,8 +103,6 @@
 	Clients  int
 	Pause    time.Duration
 	Duration time.Duration
-	// Before is called with each query before it is sent. It may be nil.
-	Before func(Query)
 }
 
 // Run runs the clients, and passes each answer to check.
@@ -119,9 +117,6 @@
 			time.Sleep(l.Pause * time.Duration(i) / time.Duration(l.Clients))
 			for n := 0; time.Now().Before(end); n++ {
 				q := Query{ID: fmt.Sprintf("9b1f%04x%08x", i, n), Filter: fmt.Sprintf("c41e%02x%04x", i, n), Shards: []int{0, 1, 2, 3}}
-				if l.Before != nil {
-					l.Before(q)
-				}
 				answer, err := c.Do(q)
 				check(q, answer, err)
 				time.Sleep(l.Pause)
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -40,8 +40,6 @@
 	Addr string
 	Cell int
 	Work time.Duration
-	// OnPart is called for each part that arrives. It returns false if the store must not answer the part.
-	OnPart func(Part) bool
 }
 
 // Serve starts the store on a free port.
@@ -90,9 +88,6 @@
 			send(frameProbe, "qps=5,queue=0")
 		case frameCall:
 			for _, part := range parseCall(rest) {
-				if s.OnPart != nil && !s.OnPart(part) {
-					continue
-				}
 				time.AfterFunc(s.Work, func() {
 					send(frameAnswer, part.ID+" S 1840277719 qps=5,queue=0\n"+Value(part.Shard, part.Filter))
 				})
@@ -132,16 +127,8 @@
 
 // Discovery is a stand-in for the agent that lists stores.
 type Discovery struct {
-	Addr string
-	// OnAnswer is called with each answer before it is written. It must be set before the first call.
-	OnAnswer func(text []byte)
-
-	mu      sync.Mutex
-	version int
-	stores  []*Store
-	state   map[string]string
-	changed map[string]int // the version of each store's last change
-	news    chan struct{}  // closed with each change
+	Addr   string
+	stores []*Store
 }
 
 // Serve starts the agent on a free port. All stores are in service.
@@ -151,68 +138,36 @@
 		return err
 	}
 	d.Addr = listener.Addr().String()
-	d.version = 1
 	d.stores = stores
-	d.state = map[string]string{}
-	d.changed = map[string]int{}
-	d.news = make(chan struct{})
 	server := &http.Server{Handler: http.HandlerFunc(d.answer), ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }() // ends with the process
 	return nil
 }
 
-// SetState changes the state of a store.
-func (d *Discovery) SetState(name, state string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.version++
-	d.state[name] = state
-	d.changed[name] = d.version
-	close(d.news)
-	d.news = make(chan struct{})
-}
+// listVersion is the version of the list, which does not change.
+const listVersion = 1
 
+// answer answers a call: the whole list, or no changes once a watch has waited.
 func (d *Discovery) answer(w http.ResponseWriter, r *http.Request) {
-	since, err := strconv.Atoi(r.FormValue("from"))
+	_, err := strconv.Atoi(r.FormValue("from"))
 	isWatch := err == nil
 	if hold, err := strconv.Atoi(r.FormValue("hold_ms")); isWatch && err == nil {
-		d.mu.Lock()
-		news, isCurrent := d.news, d.version <= since
-		d.mu.Unlock()
-		if isCurrent {
-			select {
-			case <-news:
-			case <-time.After(time.Duration(hold) * time.Millisecond):
-			case <-r.Context().Done():
-				return
-			}
+		select {
+		case <-time.After(time.Duration(hold) * time.Millisecond):
+		case <-r.Context().Done():
+			return
 		}
 	}
-	text := d.List(since, isWatch)
-	if d.OnAnswer != nil {
-		d.OnAnswer(text)
-	}
-	_, _ = w.Write(text) // a caller that has gone needs no answer
-}
-
-// List returns the list of the stores, or the changes since a version.
-func (d *Discovery) List(since int, changesOnly bool) []byte {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	entries := []map[string]any{}
 	for _, s := range d.stores {
-		state := d.state[s.Name]
-		if state == "" {
-			state = "in_service"
-		}
-		if changesOnly && d.changed[s.Name] <= since || !changesOnly && state == "terminated" {
-			continue
+		if isWatch {
+			break
 		}
 		entries = append(entries, map[string]any{
 			"id": s.Name, "addr": s.Addr, "zone": "a", "kind": "std-a", "cell": s.Cell,
-			"state": state, "weight": 1.0, "started_ms": 0,
+			"state": "in_service", "weight": 1.0, "started_ms": 0,
 		})
 	}
-	text, _ := json.Marshal(map[string]any{"version": d.version, "full": !changesOnly, "servers": entries})
-	return text
+	text, _ := json.Marshal(map[string]any{"version": listVersion, "full": !isWatch, "servers": entries})
+	_, _ = w.Write(text) // a caller that has gone needs no answer
 }
