Limit the memory that unfinished requests hold together

Cause: httpwire limited one request and the number of connections, not what all requests hold together. Measured on the old code for one unfinished request: 15.6 KB of short header lines hold 254 KB live (a Field of 32 bytes and a string for each line of three bytes; 683 KB allocated), 63,000 bytes of a body 69 KB. SetMemoryLimit cannot free what is in use.

Change: at most 256 header lines (413). RequestMemory, shared by both fronts, limits what requests of more than 4 KiB hold from their first byte until their response is written to an eighth of memory_mb (64 MiB without a limit). At the limit the request that has been read for the longest time is rejected with a 429 and Retry-After, and another one gets the memory only once it is released. Related paths: a body's buffer no longer grows beyond the announced length (store frames too), a header line takes one allocation, and an idle connection no longer keeps its last request.

--- a/alderproxy.go
+++ b/alderproxy.go
@@ -20,6 +20,7 @@
 	"alderproxy/broker"
 	"alderproxy/config"
 	"alderproxy/gossip"
+	"alderproxy/httpwire"
 	"alderproxy/opensearch"
 	"alderproxy/platform"
 )
@@ -59,7 +60,12 @@
 	if err != nil {
 		return err
 	}
-	p := &program{config: c, log: newLogger(c.Log), onChangeStep: options.OnChangeStep}
+	p := &program{
+		config:        c,
+		log:           newLogger(c.Log),
+		onChangeStep:  options.OnChangeStep,
+		requestMemory: httpwire.NewRequestMemory(defaultRequestMemory),
+	}
 	defer p.close()
 	if err := p.start(); err != nil {
 		return err
@@ -114,6 +120,8 @@
 	config       *config.Config
 	log          *logrus.Logger
 	onChangeStep func(step string) // see Options
+	// requestMemory limits the memory of the requests of both fronts' clients.
+	requestMemory *httpwire.RequestMemory
 
 	sharedConfig  *sharedConfig        // nil: the instance has no replicated configuration
 	gossip        *gossip.Node         // nil: the instance is not a member of a fleet
@@ -156,7 +164,7 @@
 		return err
 	}
 	if platformConfig != nil {
-		applyResourceLimits(platformConfig)
+		p.applyResourceLimits(platformConfig)
 	}
 	if p.config.Agreement != nil {
 		if err := p.joinConfigGroup(platformConfig); err != nil {
@@ -193,11 +201,13 @@
 // replicated configuration.
 func (p *program) startFronts(platformConfig *platform.Config, terms *broker.Terms, gate broker.Gate, replicated *platform.ReplicatedTerms) (err error) {
 	if p.config.OpenSearch != nil {
+		p.config.OpenSearch.RequestMemory = p.requestMemory
 		if p.openSearch, err = opensearch.Start(p.config.OpenSearch, terms, gate, p.log.WithField("front", "opensearch")); err != nil {
 			return err
 		}
 	}
 	if platformConfig != nil {
+		platformConfig.RequestMemory = p.requestMemory
 		if p.aggregator, err = platform.Start(platformConfig, replicated, p.log.WithField("gatherer", platformConfig.Name)); err != nil {
 			return err
 		}
@@ -265,7 +275,7 @@
 	if err != nil {
 		return err
 	}
-	applyResourceLimits(c)
+	p.applyResourceLimits(c)
 	return nil
 }
 
@@ -281,10 +291,23 @@
 	return platform.ParseConfig(text)
 }
 
+const (
+	// goMemoryShare is the part of the limit on memory that the Go runtime may use. The rest is left for memory that it does not
+	// count.
+	goMemoryShare = 0.75
+	// requestMemoryShare is the part of the limit on memory that clients' requests may hold. The runtime needs about twice as
+	// much for them, since it frees memory late.
+	requestMemoryShare = 0.125
+	// defaultRequestMemory is the memory in bytes that clients' requests may hold if there is no limit on memory.
+	defaultRequestMemory = 64 << 20
+)
+
 // applyResourceLimits limits the process to the memory and the cores that the platform's configuration grants.
-func applyResourceLimits(c *platform.Config) {
-	if c.MemoryMB > 0 { // a quarter is left for memory that the Go runtime does not count
-		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
+func (p *program) applyResourceLimits(c *platform.Config) {
+	if c.MemoryMB > 0 {
+		limit := float64(c.MemoryMB << 20)
+		debug.SetMemoryLimit(int64(limit * goMemoryShare))
+		p.requestMemory.SetLimit(int64(limit * requestMemoryShare))
 	}
 	if c.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(c.Cores)))
--- a/httpwire/accept.go
+++ b/httpwire/accept.go
@@ -86,6 +86,10 @@
 		reader:      bufio.NewReaderSize(pollConn, readBufferSize),
 		connectedAt: now,
 		stateSince:  now,
+		memory: reservation{
+			memory:    s.Memory,
+			interrupt: func() { conn.SetReadDeadline(pastDeadline) },
+		},
 	}
 	s.mu.Lock()
 	atLimit := s.MaxConnections > 0 && !s.evictForNewConnection(s.MaxConnections)
--- a/httpwire/body.go
+++ b/httpwire/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -22,7 +21,7 @@
 	case coding != "":
 		return h.readChunks(r, limit)
 	case length != "":
-		return readBodyOfLength(r, length, limit)
+		return h.readBodyOfLength(r, length, limit)
 	case untilEOF:
 		return readBodyToEnd(r, limit)
 	}
@@ -52,7 +51,7 @@
 	return length, coding, nil
 }
 
-func readBodyOfLength(r *bufio.Reader, length string, limit int) ([]byte, error) {
+func (h *head) readBodyOfLength(r *bufio.Reader, length string, limit int) ([]byte, error) {
 	n, err := strconv.ParseUint(length, 10, 63)
 	if errors.Is(err, strconv.ErrRange) || err == nil && n > uint64(limit) {
 		return nil, bodyTooLarge(limit)
@@ -60,7 +59,9 @@
 	if err != nil || length[0] == '+' {
 		return nil, fmt.Errorf("%w: length", ErrMalformed)
 	}
-	return ReadN(r, nil, int64(n))
+	body := bodyBuffer{limit: int(n), memory: h.memory}
+	err = body.readN(r, int64(n))
+	return body.bytes, err
 }
 
 func readBodyToEnd(r *bufio.Reader, limit int) ([]byte, error) {
@@ -75,14 +76,14 @@
 	return fmt.Errorf("%w: body over %d bytes", ErrTooLarge, limit)
 }
 
-// ReadN appends the next n bytes of a stream to a slice. It allocates memory as bytes arrive, since a peer may announce a
-// length that it never sends. If the stream ends early, it returns io.ErrUnexpectedEOF.
-func ReadN(r io.Reader, to []byte, n int64) ([]byte, error) {
-	buf := bytes.NewBuffer(to)
-	if _, err := io.CopyN(buf, r, n); err != nil {
-		return nil, unexpectedEOF(err)
+// ReadN reads the next n bytes of a stream. It allocates memory as bytes arrive, since a peer may announce a length that it
+// never sends. If the stream ends early, it returns io.ErrUnexpectedEOF.
+func ReadN(r io.Reader, n int64) ([]byte, error) {
+	buffer := bodyBuffer{limit: int(n)}
+	if err := buffer.readN(r, n); err != nil {
+		return nil, err
 	}
-	return buf.Bytes(), nil
+	return buffer.bytes, nil
 }
 
 // unexpectedEOF returns io.ErrUnexpectedEOF for io.EOF, and any other error unchanged.
@@ -95,16 +96,16 @@
 
 // readChunks reads a chunked body, and discards its trailers.
 func (h *head) readChunks(r *bufio.Reader, limit int) ([]byte, error) {
-	var body []byte
+	body := bodyBuffer{limit: limit, memory: h.memory}
 	for {
-		size, err := h.readChunkSize(r, limit-len(body), limit)
+		size, err := h.readChunkSize(r, limit-len(body.bytes), limit)
 		if err != nil {
 			return nil, err
 		}
 		if size == 0 {
-			return body, h.skipTrailers(r)
+			return body.bytes, h.skipTrailers(r)
 		}
-		if body, err = ReadN(r, body, size); err != nil {
+		if err := body.readN(r, size); err != nil {
 			return nil, err
 		}
 		text, err := h.readLine(r)
--- a/httpwire/exchange.go
+++ b/httpwire/exchange.go
@@ -43,6 +43,7 @@
 	pollConn    *pollConn
 	reader      *bufio.Reader
 	connectedAt time.Time
+	memory      reservation // of the current request
 
 	// Guarded by the server's lock.
 	state      connState
--- a/httpwire/head.go
+++ b/httpwire/head.go
@@ -7,43 +7,58 @@
 	"fmt"
 	"io"
 	"strings"
+	"unsafe"
 )
 
+// fieldSize is the size in bytes of a header line's Field, without its text.
+const fieldSize = int(unsafe.Sizeof(Field{}))
+
 // head is the start line and the header lines of a message.
 type head struct {
 	Header
 
 	startLine      string
-	remainingBytes int // the part of MaxHead that is left for further lines
+	remainingBytes int          // the part of MaxHead that is left for further lines
+	memory         *reservation // of the message; nil: nothing is reserved
 }
 
 // readLine reads one line and returns it without its line ending. It counts the line against MaxHead.
 func (h *head) readLine(r *bufio.Reader) (string, error) {
-	var text []byte
+	var long []byte // what has been read of a line that is longer than the buffer
 	for {
 		piece, err := r.ReadSlice('\n')
 		if h.remainingBytes -= len(piece); h.remainingBytes < 0 {
 			return "", fmt.Errorf("%w: head over %d bytes", ErrTooLarge, MaxHead)
 		}
-		text = append(text, piece...)
+		if err == nil && long == nil {
+			return h.lineText(piece)
+		}
+		long = append(long, piece...)
 		if err == nil {
-			break
+			return h.lineText(long)
 		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
-			if len(text) > 0 && errors.Is(err, io.EOF) {
+			if len(long) > 0 && errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
 			}
 			return "", err
 		}
 	}
-	text = bytes.TrimSuffix(text, []byte("\n"))
-	text = bytes.TrimSuffix(text, []byte("\r"))
-	return string(text), nil
+}
+
+// lineText returns a line without its line ending, and reserves memory for it.
+func (h *head) lineText(line []byte) (string, error) {
+	line = bytes.TrimSuffix(line, []byte("\n"))
+	line = bytes.TrimSuffix(line, []byte("\r"))
+	if err := h.memory.reserve(len(line)); err != nil {
+		return "", err
+	}
+	return string(line), nil
 }
 
 // readHead reads the start line and the header lines up to the empty line behind them.
-func readHead(r *bufio.Reader) (*head, error) {
-	h := &head{remainingBytes: MaxHead}
+func readHead(r *bufio.Reader, memory *reservation) (*head, error) {
+	h := &head{remainingBytes: MaxHead, memory: memory}
 	var err error
 	for empty := 0; h.startLine == ""; empty++ { // one empty line before the start line is accepted
 		if h.startLine, err = h.readLine(r); err != nil {
@@ -65,6 +80,12 @@
 		if !ok || !isToken(name) || !isFieldValue(value) {
 			return nil, fmt.Errorf("%w: header line", ErrMalformed)
 		}
+		if len(h.Header) == MaxHeaderLines {
+			return nil, fmt.Errorf("%w: over %d header lines", ErrTooLarge, MaxHeaderLines)
+		}
+		if err := h.memory.reserve(fieldSize); err != nil {
+			return nil, err
+		}
 		h.Header = append(h.Header, Field{name, strings.Trim(value, " \t")})
 	}
 }
--- a/httpwire/httpwire_test.go
+++ b/httpwire/httpwire_test.go
@@ -46,6 +46,8 @@
 		{"length over 64 bits", "POST /a HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", "", false, ErrTooLarge},
 		{"large chunk", "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n", "", false, ErrTooLarge},
 		{"large head", "GET /a HTTP/1.1\r\nA: " + long + "\r\n\r\n", "", false, ErrTooLarge},
+		{"header lines at their maximum number", "GET /a HTTP/1.1\r\n" + strings.Repeat("a:\n", MaxHeaderLines) + "\r\n", "", false, nil},
+		{"too many header lines", "GET /a HTTP/1.1\r\n" + strings.Repeat("a:\n", MaxHeaderLines+1), "", false, ErrTooLarge},
 		{"large request line", "GET /" + long, "", false, ErrTooLarge},
 	} {
 		req, err := ReadRequest(bufio.NewReader(strings.NewReader(c.text)))
--- a/httpwire/message.go
+++ b/httpwire/message.go
@@ -9,10 +9,12 @@
 )
 
 // Limits on a message, in bytes: MaxBody on its body, MaxHead on its start line and header lines together. The size lines and
-// trailers of a chunked body count towards MaxHead.
+// trailers of a chunked body count towards MaxHead. MaxHeaderLines limits the number of header lines, since a line takes more
+// memory than its text.
 const (
-	MaxBody = 64 << 10
-	MaxHead = 16 << 10
+	MaxBody        = 64 << 10
+	MaxHead        = 16 << 10
+	MaxHeaderLines = 256
 )
 
 // Errors that a peer causes by what it sends. Any other error comes from the stream.
@@ -28,6 +30,8 @@
 		return http.StatusRequestEntityTooLarge
 	case errors.Is(err, ErrMalformed):
 		return http.StatusBadRequest
+	case errors.Is(err, errMemoryExhausted):
+		return http.StatusTooManyRequests
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return http.StatusRequestTimeout
 	}
--- a/httpwire/request.go
+++ b/httpwire/request.go
@@ -8,8 +8,11 @@
 
 // ReadRequest reads one request. Its error is io.EOF if the peer has closed the connection before the request, or else wraps
 // ErrMalformed, ErrTooLarge or the error of the stream; io.ErrUnexpectedEOF means that the stream ended within the request.
-func ReadRequest(r *bufio.Reader) (*Request, error) {
-	h, err := readHead(r)
+func ReadRequest(r *bufio.Reader) (*Request, error) { return readRequest(r, nil) }
+
+// readRequest is ReadRequest with a reservation for the memory of the request.
+func readRequest(r *bufio.Reader, memory *reservation) (*Request, error) {
+	h, err := readHead(r, memory)
 	if err != nil {
 		return nil, err
 	}
--- a/httpwire/response.go
+++ b/httpwire/response.go
@@ -12,7 +12,7 @@
 
 // ReadResponseUpTo is ReadResponse with the given limit on the body, in bytes, instead of MaxBody.
 func ReadResponseUpTo(r *bufio.Reader, limit int) (*Response, error) {
-	h, err := readHead(r)
+	h, err := readHead(r, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/httpwire/server.go
+++ b/httpwire/server.go
@@ -23,6 +23,9 @@
 	defaultWriteTimeout        = 2 * time.Second
 )
 
+// memoryRetryAfter is the Retry-After in seconds of a request that was rejected at the limit on memory.
+const memoryRetryAfter = "1"
+
 var (
 	errTooManyConnections = errors.New("too many connections")
 	errConnectionEnds     = errors.New("the connection ends")
@@ -55,6 +58,9 @@
 	ReadTimeout time.Duration
 	// WriteTimeout limits the time that writing a response takes; 0 means 2 s.
 	WriteTimeout time.Duration
+	// Memory limits the memory that requests hold together. At the limit, the requests that have been read for the longest time
+	// are rejected with a 429. nil means no limit.
+	Memory *RequestMemory
 
 	mu           sync.Mutex
 	connections  map[*Exchange]struct{}
@@ -96,8 +102,13 @@
 func (s *Server) serveRequest(x *Exchange) (keep bool) {
 	x.Start = time.Now()
 	x.ResetWait()
-	var err error
-	if x.Request, err = ReadRequest(x.reader); err != nil {
+	x.memory.requestBytes = 0
+	defer func() {
+		x.Request = nil // the connection may be idle for long
+		x.memory.release()
+	}()
+	if err := s.readRequest(x); err != nil {
+		x.memory.release() // the client may take long to read the response
 		if status := StatusOf(err); status != 0 {
 			s.enterState(x, stateClosing)
 			s.respondAndClose(x, s.rejectionReply(status, err))
@@ -122,6 +133,21 @@
 	return !closeAfter
 }
 
+// readRequest reads a request into the exchange. It returns errMemoryExhausted if the request was evicted meanwhile.
+func (s *Server) readRequest(x *Exchange) (err error) {
+	x.Request, err = readRequest(x.reader, &x.memory)
+	if evicted := x.memory.finishReading(); evicted != nil {
+		x.Request = nil
+		err = evicted
+	}
+	if errors.Is(err, errMemoryExhausted) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.logRateLimited("client request rejected", err)
+	}
+	return err
+}
+
 // awaitRequest waits for the first byte of a request, sets the deadline for reading the rest and returns true. It returns false
 // if the connection must be closed; what arrives from then on is not read as a request.
 func (s *Server) awaitRequest(x *Exchange) bool {
@@ -201,7 +227,11 @@
 	if s.RejectionBody != nil {
 		body = s.RejectionBody(status, err)
 	}
-	return &Reply{Status: status, Body: body}
+	reply := &Reply{Status: status, Body: body}
+	if status == http.StatusTooManyRequests {
+		reply.Header = Header{{Name: "Retry-After", Value: memoryRetryAfter}}
+	}
+	return reply
 }
 
 // logRateLimited logs a warning that clients can cause. At most one such warning a second is written, whatever its message. The
--- a/opensearch/errors.go
+++ b/opensearch/errors.go
@@ -21,6 +21,7 @@
 	errorTypeSearchPhase      = "search_phase_execution_exception"
 	errorTypeTimeout          = "timeout_exception"
 	errorTypeRejected         = "rejected_execution_exception"
+	errorTypeCircuitBreaking  = "circuit_breaking_exception"
 	errorTypeClusterBlock     = "cluster_block_exception"
 	errorTypeMethodNotAllowed = "method_not_allowed"
 	errorTypeNotReady         = "not_ready"
@@ -62,6 +63,15 @@
 	return &httpwire.Reply{Status: e.status, Header: retryAfterHeader(e.retryAfter), Body: e.body()}
 }
 
+// rejectionBody returns the body of a response to a request that the HTTP server rejects itself.
+func rejectionBody(status int, err error) []byte {
+	errorType := errorTypeParse
+	if status == http.StatusTooManyRequests {
+		errorType = errorTypeCircuitBreaking
+	}
+	return appendError(nil, status, errorType, err.Error())
+}
+
 // retryAfterHeader returns the Retry-After header in whole seconds, rounded up, or nil if retryAfter is not positive.
 func retryAfterHeader(retryAfter time.Duration) httpwire.Header {
 	if retryAfter <= 0 {
--- a/opensearch/service.go
+++ b/opensearch/service.go
@@ -53,7 +53,8 @@
 		Handle:         f.handle,
 		Log:            log,
 		MaxConnections: c.MaxConnections,
-		RejectionBody:  func(status int, err error) []byte { return appendError(nil, status, errorTypeParse, err.Error()) },
+		RejectionBody:  rejectionBody,
+		Memory:         c.RequestMemory,
 	}
 	go func() {
 		if err := s.server.Serve(s.listener); err != nil {
--- a/opensearch/terms.go
+++ b/opensearch/terms.go
@@ -6,6 +6,7 @@
 
 	"alderproxy/broker"
 	"alderproxy/document"
+	"alderproxy/httpwire"
 	"alderproxy/policy"
 	"alderproxy/storepool"
 )
@@ -13,7 +14,8 @@
 // Config is the configuration of the front on this instance. Its classes and indices come from a document; see Terms.
 type Config struct {
 	Listen         string
-	MaxConnections int // the maximum number of client connections
+	MaxConnections int                     // the maximum number of client connections
+	RequestMemory  *httpwire.RequestMemory // limits the memory of clients' requests; nil: no limit
 	Limits         storepool.Limits
 	Stores         []storepool.Store
 	InstanceIndex  int // the index of this instance among those that share the stores' capacity
--- a/processtest/process_test.go
+++ b/processtest/process_test.go
@@ -36,6 +36,13 @@
 func startProcess(t *testing.T, config string) (c *exec.Cmd, path string, cl *testserver.Client, lines *bufio.Scanner) {
 	t.Helper()
 	c, path = processCommand(t, config)
+	cl, lines = startCommand(t, c)
+	return c, path, cl, lines
+}
+
+// startCommand starts the program by a command, waits until it is ready, and returns a client and the log of the program.
+func startCommand(t *testing.T, c *exec.Cmd) (cl *testserver.Client, lines *bufio.Scanner) {
+	t.Helper()
 	out, err := c.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, c.Start())
@@ -47,7 +54,7 @@
 		cl.SendRequest("GET", "/healthz", "")
 		return cl.ReadResponse().Status == 200
 	}, 10*time.Second, 5*time.Millisecond)
-	return c, path, cl, lines
+	return cl, lines
 }
 
 // listenPattern matches the log line with the address of the platform's front.
