Write no call behind bytes that no request awaits

Cause: an answer over HTTP has no ID and goes to the only attempt on the connection. Bytes behind an answer were looked for in the reader's 4 KB buffer alone, and the last read of a larger body goes around it. While the copy was read and parsed, the connection looked idle and the next search was written to it.

Change: the reader records under the connection's lock that something has arrived before it reads it; the writer begins a call or health check under that lock only if nothing has (MSG_PEEK). Otherwise the call is withdrawn and the connection closed. An attempt whose write has not begun cannot be answered. An X-Opaque-Id that a store sends back must name the part. markClosed no longer closes the socket under the lock, since the close waits for the reader. Related paths: the platform's frames (noise behind a large answer ended the next call) and health checks.

--- a/internal/testserver/fault.go
+++ b/internal/testserver/fault.go
@@ -14,6 +14,7 @@
 	Unresponsive Fault = "silent"    // reads the request and does not answer it
 	Stalled      Fault = "mute"      // stops answering on the connection and keeps it open; frames only
 	Malformed    Fault = "malformed" // responds with bytes that violate the protocol
+	NoiseBehind  Fault = "noise"     // sends the beginning of a frame right behind a large answer; frames only
 	Down         Fault = "down"      // closes the connections and accepts none
 )
 
--- a/internal/testserver/framestore.go
+++ b/internal/testserver/framestore.go
@@ -17,7 +17,11 @@
 	resultFrame    = '5'
 )
 
-const frameLengthBytes = 4
+const (
+	frameLengthBytes = 4
+	// largeAnswerBytes is the size of a value that does not fit into the read buffers of its receiver.
+	largeAnswerBytes = 20 << 10
+)
 
 // NewFrameStore starts a store that uses the platform's frames. Its value for a part is "v" followed by the shard.
 func NewFrameStore(t *testing.T) *Store {
@@ -71,6 +75,9 @@
 	case Reset:
 		return io.EOF
 	case Unresponsive, Down:
+	case NoiseBehind:
+		answer := appendFrame(nil, resultFrame, part+" S 1840277719 -\n"+strings.Repeat("v", largeAnswerBytes))
+		f.write(append(answer, 0, 0, 0, 9, resultFrame))
 	case None:
 		go func() {
 			if hold != nil {
@@ -82,14 +89,20 @@
 	return nil
 }
 
-// send writes a frame. It ignores errors, which the other side notices when it reads.
-func (f *frameConnection) send(kind byte, text string) {
+// send writes a frame.
+func (f *frameConnection) send(kind byte, text string) { f.write(appendFrame(nil, kind, text)) }
+
+// write writes bytes. It ignores errors, which the other side notices when it reads.
+func (f *frameConnection) write(b []byte) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	frame := binary.BigEndian.AppendUint32(nil, uint32(len(text)+1))
-	frame = append(frame, kind)
-	frame = append(frame, text...)
-	_, _ = f.conn.Write(frame)
+	_, _ = f.conn.Write(b)
+}
+
+func appendFrame(to []byte, kind byte, text string) []byte {
+	to = binary.BigEndian.AppendUint32(to, uint32(len(text)+1))
+	to = append(to, kind)
+	return append(to, text...)
 }
 
 func readFrame(r io.Reader) (kind byte, text string, err error) {
--- a/internal/testserver/searchstore.go
+++ b/internal/testserver/searchstore.go
@@ -52,7 +52,7 @@
 	case Unresponsive:
 		_, _ = io.Copy(io.Discard, r) // until the other side closes the connection
 		return io.EOF
-	case Stalled, Down:
+	case Stalled, NoiseBehind, Down:
 	case None:
 		if hold != nil {
 			<-hold
--- a/internal/testserver/store.go
+++ b/internal/testserver/store.go
@@ -28,6 +28,12 @@
 	connections map[net.Conn]bool
 }
 
+// NewStore starts a store that calls serve for each connection, and closes the connection when serve returns.
+func NewStore(t *testing.T, serve func(net.Conn)) *Store {
+	t.Helper()
+	return startStore(t, func(_ *Store, c net.Conn) { serve(c) })
+}
+
 // startStore starts a store that calls serve for each connection.
 func startStore(t *testing.T, serve func(*Store, net.Conn)) *Store {
 	t.Helper()
--- a/opensearch/codec.go
+++ b/opensearch/codec.go
@@ -15,8 +15,12 @@
 // maxResponseBytes is the maximum size of the body of a store's response.
 const maxResponseBytes = 4 << 20
 
+// headerOpaqueID is the header that names the part which a store is asked for. Stores that support it send it back.
+const headerOpaqueID = "X-Opaque-Id"
+
 // codec encodes searches for stores and decodes their responses. An HTTP/1.1 connection carries one search at a time, so
-// responses need no ids, and a search is canceled by closing its connection.
+// responses need no ids, and a search is canceled by closing its connection. A response that names another part than the one
+// that was asked for is malformed.
 type codec struct{}
 
 // AppendCall appends the search of one part. The settings allow only one part per call.
@@ -24,7 +28,7 @@
 	attempt := attempts[0]
 	target := fmt.Sprintf("/%s/_search?preference=_shards:%d&timeout=%dms&allow_partial_search_results=false",
 		attempt.Query.FrontData.(*searchTarget).index, attempt.Shard, max(1, attempt.Deadline.Sub(now).Milliseconds()))
-	header := httpwire.Header{{Name: "X-Opaque-Id", Value: storepool.WirePartID(attempt)}}
+	header := httpwire.Header{{Name: headerOpaqueID, Value: storepool.WirePartID(attempt)}}
 	return httpwire.AppendRequest(to, http.MethodPost, target, store.Addr, header, attempt.Query.Payload)
 }
 
@@ -53,5 +57,5 @@
 	case resp.Status < http.StatusOK:
 		return storepool.Message{}, fmt.Errorf("%w: status %d", storepool.ErrMalformed, resp.Status)
 	}
-	return storepool.Message{Kind: storepool.Answer, Closing: resp.Close, Result: result}, nil
+	return storepool.Message{Kind: storepool.Answer, ID: resp.Header.Get(headerOpaqueID), Closing: resp.Close, Result: result}, nil
 }
--- a/opensearch/opensearch_test.go
+++ b/opensearch/opensearch_test.go
@@ -27,11 +27,11 @@
 1 {"_id":"d","_score":0.2,"sort":[10,"z"]}
 `
 
-// testFront is a front with two stores that hold every shard.
+// testFront is a front with stores that hold every shard.
 type testFront struct {
 	*Service
 	config *Config
-	stores [2]*testserver.Store
+	stores []*testserver.Store
 }
 
 // documentTemplate is the document of most tests, without its max_open.
@@ -56,21 +56,39 @@
 slices = 0, 1
 `
 
+// documentOfOneShard is a document with an index of one shard.
+const documentOfOneShard = `
+[layout]
+slices = 1
+[class lookup]
+aim = 600ms
+give_up = 2s
+[index names]
+class = lookup
+slices = 0
+`
+
+// startTestFront starts a front with two stores.
 func startTestFront(t *testing.T, maxOpen int) *testFront {
 	t.Helper()
-	r := &testFront{config: &Config{
+	stores := []*testserver.Store{testserver.NewSearchStore(t, storedHits), testserver.NewSearchStore(t, storedHits)}
+	return startFront(t, fmt.Sprintf(documentTemplate, maxOpen), stores...)
+}
+
+func startFront(t *testing.T, document string, stores ...*testserver.Store) *testFront {
+	t.Helper()
+	r := &testFront{stores: stores, config: &Config{
 		Listen: "127.0.0.1:0", MaxConnections: 256, InstanceCount: 1,
 		Limits: storepool.Limits{MaxInFlight: 1, MaxConnections: 16, ConnectTimeout: 250_000, IdleTimeout: 15_000_000},
 	}}
-	for i := range r.stores {
-		r.stores[i] = testserver.NewSearchStore(t, storedHits)
+	for i, store := range stores {
 		r.config.Stores = append(r.config.Stores, storepool.Store{
-			Name: fmt.Sprint("s-", i), Addr: r.stores[i].Addr,
+			Name: fmt.Sprint("s-", i), Addr: store.Addr,
 			Endpoint: policy.Endpoint{ID: uint32(i + 1), State: policy.Ready, Capacity: 1},
 		})
 	}
 	var err error
-	r.Service, err = Start(r.config, r.terms(t, 0, fmt.Sprintf(documentTemplate, maxOpen)), nil, testserver.DiscardLog())
+	r.Service, err = Start(r.config, r.terms(t, 0, document), nil, testserver.DiscardLog())
 	require.NoError(t, err)
 	t.Cleanup(func() { r.server.Close(); r.broker.Close(); r.pool.Close() })
 	return r
--- a/storepool/close.go
+++ b/storepool/close.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,6 +17,9 @@
 	errIdle   = errors.New("connection idle or retired")
 )
 
+// errUnexpectedInput is the cause for which a connection is closed on which something has arrived that no request awaits.
+var errUnexpectedInput = errors.New("bytes or the end of the stream have arrived without a request")
+
 // fence withdraws the attempts that are not started. Queued or new requests other than cancellations are not written to
 // the connection any more.
 func (c *connection) fence() {
@@ -106,6 +110,9 @@
 	if !closed {
 		return
 	}
+	if pending.netConn != nil {
+		pending.netConn.Close() // it waits for the reader, which may wait for the lock
+	}
 	byPool := errors.Is(cause, errIdle) || errors.Is(cause, errClosed)
 	closeLog := c.pool.removeConnection(c, len(pending.attempts) > 0 && !byPool)
 	if closeLog != nil && !byPool {
@@ -127,6 +134,7 @@
 
 // unfinishedRequests are the attempts and health checks that end when their connection is closed.
 type unfinishedRequests struct {
+	netConn           net.Conn // to be closed; nil if the connection was not established
 	attempts          []attemptOutcome
 	healthChecks      []*healthCheck
 	healthCheckStatus policy.Status
@@ -138,8 +146,8 @@
 	status  policy.Status
 }
 
-// markClosed closes the connection's socket, and removes and returns the requests that end with it. It returns false if
-// the connection was closed before.
+// markClosed marks the connection as closed, and removes and returns the requests that end with it. It returns false if the
+// connection was closed before.
 func (c *connection) markClosed(cause error) (pending unfinishedRequests, closed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -151,9 +159,9 @@
 	pending.healthCheckStatus = policy.ConnectFailed
 	if c.netConn != nil {
 		pending.healthCheckStatus = policy.ConnectionBroken
-		c.netConn.Close()
 	}
 	close(c.closed)
+	pending.netConn = c.netConn
 	pending.attempts = c.takeAttemptsLocked()
 	pending.healthChecks = c.healthChecks
 	for _, request := range c.writeQueue {
--- a/storepool/connection.go
+++ b/storepool/connection.go
@@ -26,8 +26,11 @@
 	// mu guards everything below.
 	mu         sync.Mutex
 	writeQueue []writeRequest
-	// netConn is nil until the connection is established.
+	// netConn is nil until the connection is established. Until then, nothing arrives at input.
 	netConn net.Conn
+	input   *input
+	// receiving is set while bytes have arrived that were not handled as messages yet.
+	receiving bool
 	// closeCause is the reason for which the connection was closed; nil while it is open.
 	closeCause error
 	// retired is set once no new requests other than cancellations are accepted.
@@ -53,6 +56,8 @@
 // inFlightAttempt is an attempt that is queued or written on a connection.
 type inFlightAttempt struct {
 	*broker.Attempt
+	// begun is set before the first byte is written. What arrived before cannot be its answer.
+	begun bool
 	// written is set once the last byte was written, so that the store may have run the attempt.
 	written bool
 }
@@ -67,6 +72,7 @@
 		lastUsed:    now,
 		writeReady:  make(chan struct{}, 1),
 		closed:      make(chan struct{}),
+		input:       &input{},
 		inFlight:    map[string]*inFlightAttempt{},
 		canceledIDs: map[string]bool{},
 	}
@@ -108,7 +114,7 @@
 
 // acceptsLocked reports whether the connection accepts the request and meets the requirement.
 func (c *connection) acceptsLocked(request writeRequest, required requirement) bool {
-	if c.closeCause != nil || c.retired {
+	if c.closeCause != nil || c.retired || c.hasUnexpectedBytesLocked() {
 		return false
 	}
 	if request.attempts != nil && c.inFlightCount >= c.pool.limits.Load().MaxInFlight {
--- a/storepool/connection_test.go
+++ b/storepool/connection_test.go
@@ -67,6 +67,10 @@
 	c := unconnected(32)
 	require.True(t, c.tryEnqueue(callOf(a), requireCapacity))
 	c.dequeue() // in place of the writer
+	for _, id := range []string{"", WirePartID(a)} {
+		require.ErrorIs(t, c.handleMessage(Message{Kind: Answer, ID: id}, false), ErrMalformed, "an answer before the call")
+	}
+	c.inFlight[WirePartID(a)].begun = true
 	require.ErrorIs(t, c.handleMessage(Message{Kind: Answer, ID: "other"}, false), ErrMalformed)
 	c.canceledIDs["late"] = true
 	require.NoError(t, c.handleMessage(Message{Kind: Answer, ID: "late"}, true), "the late answer is an error")
@@ -74,3 +78,25 @@
 	require.NoError(t, c.handleMessage(Message{Kind: Answer, ID: WirePartID(a)}, true))
 	assert.Error(t, c.closeCause, "the connection is still open")
 }
+
+// Guards against bytes that arrive while no answer is outstanding and are taken for the answer to the next request. A call or
+// health check must not be written behind them.
+func TestNothingIsWrittenBehindUnexpectedBytes(t *testing.T) {
+	for name, request := range map[string]func(*broker.Attempt) writeRequest{
+		"call":         callOf,
+		"health check": func(*broker.Attempt) writeRequest { return writeRequest{healthCheck: &healthCheck{}} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			attempts, _ := submitQuery(t)
+			c := unconnected(32)
+			next := request(<-attempts)
+			require.True(t, c.tryEnqueue(next, requireCapacity))
+			require.True(t, c.begin(next), "nothing has arrived")
+			clear(c.inFlight)
+			c.inFlightCount = 0
+			c.receiving = true
+			assert.False(t, c.begin(next), "the request can be written")
+			assert.False(t, c.tryEnqueue(next, requireCapacity), "the connection accepts a request")
+		})
+	}
+}
--- a/storepool/reader.go
+++ b/storepool/reader.go
@@ -1,7 +1,6 @@
 package storepool
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"net"
@@ -22,12 +21,11 @@
 type resultReceiver interface{ Finish(broker.AttemptResult) }
 
 // readLoop handles messages until the connection is closed.
-func (c *connection) readLoop(netConn net.Conn) {
-	r := bufio.NewReaderSize(netConn, readBufferSize)
+func (c *connection) readLoop(netConn net.Conn, in *input) {
 	for {
-		m, err := c.readMessage(netConn, r)
+		m, err := c.readMessage(netConn, in)
 		if err == nil {
-			err = c.handleMessage(m, r.Buffered() > 0)
+			err = c.handleMessage(m, in.Buffered() > 0)
 		}
 		if err != nil {
 			c.close(fmt.Errorf("read: %w", err))
@@ -38,10 +36,10 @@
 
 // readMessage waits for a message and reads it. The wait has no time limit, since the connection may be idle or the store
 // may be slow, but closeIfIdle is called at intervals.
-func (c *connection) readMessage(netConn net.Conn, r *bufio.Reader) (Message, error) {
+func (c *connection) readMessage(netConn net.Conn, in *input) (Message, error) {
 	for {
 		netConn.SetReadDeadline(time.Now().Add(c.pool.idleLimit() / idleChecksPerTimeout))
-		_, err := r.Peek(1)
+		err := in.await(&c.mu, func() { c.receiving = true })
 		if err == nil {
 			break
 		}
@@ -53,7 +51,10 @@
 	}
 	// An incomplete message, for example one with a wrong length, would block all answers after it.
 	netConn.SetReadDeadline(time.Now().Add(c.pool.connectTimeout()))
-	return c.pool.codec.Read(r)
+	if _, err := in.Peek(1); err != nil {
+		return Message{}, err // the end of the stream, which is no part of a message
+	}
+	return c.pool.codec.Read(in.Reader)
 }
 
 // handleMessage passes a result to the attempt or health check that awaits it. It ignores results of canceled attempts.
@@ -74,8 +75,8 @@
 	if len(c.inFlight)+len(c.healthChecks) > 0 {
 		c.awaitingAnswerSince = time.Now()
 	}
-	unexpectedBytes := moreBuffered && len(c.inFlight)+len(c.canceledIDs)+len(c.healthChecks) == 0
-	if m.Closing || unexpectedBytes {
+	c.receiving = moreBuffered
+	if m.Closing || c.hasUnexpectedBytesLocked() {
 		c.retired = true
 	}
 	retired := c.retired
@@ -92,19 +93,38 @@
 	return nil
 }
 
+// hasUnexpectedBytesLocked reports whether bytes have been received that are no part of an answer to a request on this
+// connection. They must not be taken for the answer to a later request.
+func (c *connection) hasUnexpectedBytesLocked() bool { return c.receiving && !c.awaitsMessageLocked() }
+
+// awaitsMessageLocked reports whether the store may send a message because of a request that was written.
+func (c *connection) awaitsMessageLocked() bool {
+	if len(c.canceledIDs)+len(c.healthChecks) > 0 {
+		return true
+	}
+	for _, attempt := range c.inFlight {
+		if attempt.begun {
+			return true
+		}
+	}
+	return false
+}
+
 // answeredAttemptLocked removes and returns the attempt with the given ID, or the only attempt if the ID is empty. It
 // returns nil for an attempt that was canceled. An unknown ID is an error, since some attempt will then not get its
-// answer.
+// answer. An attempt whose write has not begun cannot be answered yet.
 func (c *connection) answeredAttemptLocked(id string) (resultReceiver, error) {
 	if id == "" {
-		for only := range c.inFlight {
-			id = only
+		for candidate, attempt := range c.inFlight {
+			if attempt.begun {
+				id = candidate
+			}
 		}
 	}
 	c.lastUsed = time.Now()
 	wasCanceled := c.canceledIDs[id]
 	delete(c.canceledIDs, id)
-	if attempt := c.inFlight[id]; attempt != nil {
+	if attempt := c.inFlight[id]; attempt != nil && attempt.begun {
 		c.removeInFlightLocked(id)
 		return attempt, nil
 	}
--- a/storepool/writer.go
+++ b/storepool/writer.go
@@ -59,7 +59,7 @@
 	if !ok {
 		return
 	}
-	go c.readLoop(netConn)
+	go c.readLoop(netConn, c.input)
 	c.writeLoop(netConn)
 }
 
@@ -74,6 +74,7 @@
 	open := c.closeCause == nil
 	if open {
 		c.netConn = netConn
+		c.input = newInput(netConn)
 	}
 	c.mu.Unlock()
 	if !open {
@@ -137,6 +138,13 @@
 // written have never run.
 func (c *connection) write(netConn net.Conn, request writeRequest, buffer []byte) ([]byte, error) {
 	now := time.Now()
+	if !c.begin(request) {
+		c.fence()
+		if request.healthCheck != nil {
+			request.healthCheck.Finish(broker.Unanswered(policy.ConnectFailed))
+		}
+		return buffer, errUnexpectedInput
+	}
 	var started []*broker.Attempt
 	switch {
 	case request.cancelID != "":
@@ -164,6 +172,22 @@
 	return buffer, err
 }
 
+// begin records that a call is about to be written. It returns false if a call or health check must not be written because
+// something has arrived that no earlier request awaits: bytes that could be mistaken for the answer, or the end of the stream.
+func (c *connection) begin(request writeRequest) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if request.cancelID == "" && !c.awaitsMessageLocked() && (c.receiving || c.input.hasArrived()) {
+		return false
+	}
+	for _, a := range request.attempts {
+		if attempt := c.inFlight[WirePartID(a)]; attempt != nil && attempt.Attempt == a {
+			attempt.begun = true
+		}
+	}
+	return true
+}
+
 // startHealthCheck records that a health check is about to be written. It returns false if the connection is closed or
 // fenced, so that the check must not be written.
 func (c *connection) startHealthCheck(check *healthCheck) bool {
