--- a/processtest/data_directory_test.go
+++ b/processtest/data_directory_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -91,3 +92,58 @@
 	n3.start("")
 	r.waitUntilServing(6, "n3")
 }
+
+// Guards against an instance that received a snapshot, since it was down while the log was compacted, and cannot start again
+// after its next death: its log must not keep the entries before the snapshot and continue behind it.
+func TestKilledInstanceRestartsAfterItReceivedASnapshot(t *testing.T) {
+	t.Parallel()
+	const changesWhileDown = 40
+	r := newCluster(t, 2*time.Second)
+	r.agreement = "snapshot_after = 8\n"
+	r.startInstances("", 0)
+	n3 := r.instances["n3"]
+	kill := func() {
+		require.NoError(t, n3.cmd.Process.Kill())
+		<-n3.exited
+	}
+	version := uint64(1)
+	change := func() {
+		o, err := r.instances["n1"].client().Put(configPut(fmt.Sprint("change-", version), version, int(version)+1))
+		require.NoError(t, err)
+		require.Equal(t, sharedconfig.StatusDone, o.Status, o.Reason)
+		version++
+	}
+	kill()
+	for range changesWhileDown {
+		change()
+	}
+	for _, name := range []string{"n1", "n2"} { // whichever leads no longer has the entry that n3 needs next
+		require.Eventually(t, func() bool { return r.instances[name].newestSnapshot(t) >= changesWhileDown }, 20*time.Second,
+			20*time.Millisecond, "%s has not compacted its log", name)
+	}
+	n3.start("")
+	r.waitUntilServing(version, "n3")
+	require.GreaterOrEqual(t, n3.newestSnapshot(t), changesWhileDown, "n3 has received no snapshot")
+	change() // the first entry behind the snapshot
+	r.waitUntilServing(version, "n3")
+	for range 2 {
+		kill()
+		n3.start("")
+		r.waitUntilServing(version, "n3")
+	}
+}
+
+// newestSnapshot returns the index of the last log entry that the instance's newest snapshot includes, or 0 if it has none.
+func (i *instance) newestSnapshot(t *testing.T) (index int) {
+	t.Helper()
+	states, err := filepath.Glob(filepath.Join(i.path("folder"), "snapshots", "*", "state.bin"))
+	require.NoError(t, err)
+	for _, state := range states {
+		// The directory is named TERM-INDEX-TIME, with .tmp at the end while it is written.
+		fields := strings.Split(filepath.Base(filepath.Dir(state)), "-")
+		if included, err := strconv.Atoi(fields[1]); err == nil && !strings.HasSuffix(fields[2], ".tmp") {
+			index = max(index, included)
+		}
+	}
+	return index
+}
--- a/raftnode/data_directory.go
+++ b/raftnode/data_directory.go
@@ -142,26 +142,40 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := d.checkUsable(snapshots); err != nil {
+	contents, err := d.contents(snapshots)
+	if err != nil {
 		return nil, err
 	}
-	return snapshots, nil
+	return snapshots, contents.Validate()
 }
 
-// checkUsable returns an error if the instance must not start from the data directory. It reads the log's first and last
-// index and all snapshots before Raft does.
-func (d *dataDirectory) checkUsable(snapshots raft.SnapshotStore) error {
-	var contents sharedconfig.DataDirectory
-	var err error
-	if contents.FirstIndex, err = d.store.FirstIndex(); err != nil {
+// deleteObsoleteEntries deletes the entries that the next entry of the log would not follow. Raft must not have started, and
+// openSnapshots must have returned the snapshots.
+func (d *dataDirectory) deleteObsoleteEntries(snapshots raft.SnapshotStore) error {
+	contents, err := d.contents(snapshots)
+	if err != nil {
 		return err
 	}
+	last := contents.ObsoleteUpTo()
+	if last == 0 {
+		return nil
+	}
+	return d.store.DeleteRange(contents.FirstIndex, last)
+}
+
+// contents reads the log's indexes and all snapshots.
+func (d *dataDirectory) contents(snapshots raft.SnapshotStore) (contents sharedconfig.DataDirectory, err error) {
+	if contents.FirstIndex, err = d.store.FirstIndex(); err != nil {
+		return contents, err
+	}
 	if contents.LastIndex, err = d.store.LastIndex(); err != nil {
-		return err
+		return contents, err
 	}
+	gap := d.store.Gap()
+	contents.GapBefore, contents.GapAfter = gap.Before, gap.After
 	metas, err := snapshots.List()
 	if err != nil {
-		return err
+		return contents, err
 	}
 	for _, meta := range metas {
 		contents.Snapshots = append(contents.Snapshots, sharedconfig.SnapshotInfo{
@@ -170,7 +184,7 @@
 			Err:       checkSnapshot(snapshots, meta.ID),
 		})
 	}
-	return contents.Validate()
+	return contents, nil
 }
 
 func checkSnapshot(snapshots raft.SnapshotStore, id string) error {
--- a/raftnode/node.go
+++ b/raftnode/node.go
@@ -93,6 +93,9 @@
 	if err != nil {
 		return n.directory.wrapError(err)
 	}
+	if err := n.directory.deleteObsoleteEntries(snapshots); err != nil {
+		return n.directory.wrapError(err)
+	}
 	if err := n.activateStoredVersion(); err != nil {
 		return err
 	}
--- a/raftstore/log_store.go
+++ b/raftstore/log_store.go
@@ -44,11 +44,24 @@
 // StoreLog writes a log entry.
 func (s *Store) StoreLog(entry *raft.Log) error { return s.StoreLogs([]*raft.Log{entry}) }
 
-// StoreLogs writes log entries. If it fails, it writes none of them.
+// IsMonotonic returns true: the log has no gaps. Raft then deletes the whole log when it has installed a snapshot from the
+// leader, instead of leaving a gap between the entries before the snapshot and those behind it.
+func (s *Store) IsMonotonic() bool { return true }
+
+// StoreLogs writes log entries. If it fails, it writes none of them. The error wraps ErrGap if an entry does not follow the last
+// one. An entry may replace an earlier one.
 func (s *Store) StoreLogs(entries []*raft.Log) error {
 	return s.db.Update(func(tx *bbolt.Tx) error {
 		bucket := tx.Bucket(logBucket)
+		last := uint64(0)
+		if key, _ := bucket.Cursor().Last(); key != nil {
+			last = decodeUint64(key)
+		}
 		for _, entry := range entries {
+			if last != 0 && entry.Index > last+1 {
+				return fmt.Errorf("%w: entry %d of the log would follow %d", ErrGap, entry.Index, last)
+			}
+			last = max(last, entry.Index)
 			record, err := encodeEntry(entry)
 			if err != nil {
 				return fmt.Errorf("entry %d of the log: %w", entry.Index, err)
--- a/raftstore/store_test.go
+++ b/raftstore/store_test.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/raft"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.etcd.io/bbolt"
 	"pgregory.net/rapid"
 )
 
@@ -156,3 +157,52 @@
 	_, err := Open(filepath.Join(t.TempDir(), "none", "s.db"))
 	assert.Error(t, err)
 }
+
+// Guards against a log with a gap, which the store promises Raft not to have. Whatever is left of the log stays.
+func TestEntryThatDoesNotFollowTheLastIsRejected(t *testing.T) {
+	store, err := Open(filepath.Join(t.TempDir(), "s.db"))
+	require.NoError(t, err)
+	defer func() { assert.NoError(t, store.Close()) }()
+	entries := func(indexes ...uint64) (logs []*raft.Log) {
+		for _, index := range indexes {
+			logs = append(logs, &raft.Log{Index: index})
+		}
+		return logs
+	}
+	require.True(t, store.IsMonotonic())
+	require.NoError(t, store.StoreLogs(entries(4, 5)), "the first entry may have any index")
+	require.ErrorIs(t, store.StoreLogs(entries(7)), ErrGap)
+	require.ErrorIs(t, store.StoreLogs(entries(6, 8)), ErrGap)
+	last, err := store.LastIndex()
+	require.NoError(t, err)
+	assert.Equal(t, uint64(5), last, "a rejected entry was written")
+	require.NoError(t, store.StoreLogs(entries(5, 6)), "an entry may be replaced")
+	require.NoError(t, store.DeleteRange(4, 6))
+	assert.NoError(t, store.StoreLogs(entries(9)), "the log is empty")
+}
+
+// Guards against a log with a gap, as earlier revisions left it, that is taken for corrupt: whether entries are missing depends
+// on the snapshots.
+func TestLastGapOfTheLogIsReported(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s.db")
+	store, err := Open(path)
+	require.NoError(t, err)
+	require.NoError(t, store.db.Update(func(tx *bbolt.Tx) error {
+		for _, index := range []uint64{2, 3, 7, 9, 10} {
+			record, err := encodeEntry(&raft.Log{Index: index})
+			require.NoError(t, err)
+			require.NoError(t, tx.Bucket(logBucket).Put(encodeUint64(index), record))
+		}
+		return nil
+	}))
+	require.NoError(t, store.Close())
+	store, err = Open(path)
+	require.NoError(t, err)
+	assert.Equal(t, Gap{Before: 7, After: 9}, store.Gap())
+	require.NoError(t, store.DeleteRange(2, 7))
+	require.NoError(t, store.Close())
+	store, err = Open(path)
+	require.NoError(t, err)
+	assert.Zero(t, store.Gap())
+	require.NoError(t, store.Close())
+}
--- a/sharedconfig/datadir.go
+++ b/sharedconfig/datadir.go
@@ -6,6 +6,8 @@
 type DataDirectory struct {
 	FirstIndex uint64         // index of the first entry of the log; 0: the log is empty
 	LastIndex  uint64         // index of the last entry; 0: the log is empty
+	GapBefore  uint64         // index of the entry before the log's last gap; 0: the log has no gap
+	GapAfter   uint64         // index of the entry after that gap
 	Snapshots  []SnapshotInfo // newest first
 }
 
@@ -19,6 +21,29 @@
 // Validate returns an error if the instance must not start from the data directory. An older snapshot can replace an
 // unreadable one only if the log continues from it: across a gap, the instance would reach a state that never existed.
 func (d DataDirectory) Validate() error {
+	if d.GapAfter == 0 {
+		return d.validateContiguous()
+	}
+	behindGap := d
+	behindGap.FirstIndex = d.GapAfter
+	if err := behindGap.validateContiguous(); err != nil {
+		return fmt.Errorf("entry %d of the log follows %d: %w", d.GapAfter, d.GapBefore, err)
+	}
+	return nil
+}
+
+// ObsoleteUpTo returns the index up to which the log's entries must be deleted before the start, since the next entry would not
+// follow them, or 0 if there are none. The directory must be valid. Such entries are included in the newest snapshot: it was
+// received from the leader, and the instance ended before it had deleted them, or an earlier revision kept them.
+func (d DataDirectory) ObsoleteUpTo() uint64 {
+	if len(d.Snapshots) > 0 && d.Snapshots[0].Err == nil && d.LastIndex < d.Snapshots[0].LastIndex {
+		return d.LastIndex
+	}
+	return d.GapBefore
+}
+
+// validateContiguous is Validate for a log without gaps.
+func (d DataDirectory) validateContiguous() error {
 	var unreadable error
 	for _, snapshot := range d.Snapshots {
 		if snapshot.Err == nil {
