Stop reading a call's stream once its handler has returned

Change: when a handler has returned, its stream is detached: later reads fail, and one that is in progress is interrupted and the connection closed, since part of a frame is lost.

--- a/peer/endpoint.go
+++ b/peer/endpoint.go
@@ -15,8 +15,8 @@
 )
 
 // Handler handles a call of one kind and returns the body of the response. clientID is the caller's id. stream returns
-// the bytes that the caller sends after the request. It must not be read after the handler has returned, nor for kinds
-// of calls without a stream. The caller receives the text of an error, wrapped in ErrRemote.
+// the bytes that the caller sends after the request. Reads after the handler has returned fail; one that is in progress then
+// is interrupted, and the connection is closed. It must not be read for kinds of calls without a stream. The caller receives the text of an error, wrapped in ErrRemote.
 type Handler func(clientID string, body []byte, stream io.Reader) ([]byte, error)
 
 // Config configures an Endpoint.
--- a/peer/endpoint_test.go
+++ b/peer/endpoint_test.go
@@ -162,3 +162,34 @@
 	require.Error(t, callFrom("follower-beyond-the-limit"))
 	assert.NoError(t, callFrom("member"))
 }
+
+// Guards against a data race: a handler that returns while another goroutine still reads the call's stream, as Raft does with a
+// snapshot while the instance stops, must not leave that goroutine reading the connection beside the server.
+func TestStreamIsNotReadAfterItsHandlerHasReturned(t *testing.T) {
+	reads := make(chan error, 1)
+	config := Config{ID: "b", Group: func() string { return "g" }, Log: testserver.DiscardLog()}
+	server := Listen(config, listenTCP(t), map[byte]Handler{
+		callCountStream: func(_ string, _ []byte, stream io.Reader) ([]byte, error) {
+			_, err := io.ReadFull(stream, make([]byte, streamChunkSize)) // the next read waits for a chunk
+			go func() {
+				_, err := io.Copy(io.Discard, stream)
+				reads <- err
+			}()
+			return nil, err
+		},
+	})
+	t.Cleanup(server.Close)
+	client := newTestEndpoint(t, "a", "g", "")
+	stream, source := io.Pipe()
+	t.Cleanup(func() { _ = source.Close() })
+	go func() { _, _ = source.Write(make([]byte, streamChunkSize)) }()
+	go func() {
+		_, _ = client.Call(Target{ID: "b", Addr: server.Addr()}, callCountStream, nil, stream, 5*time.Second)
+	}()
+	select {
+	case err := <-reads:
+		require.Error(t, err, "the stream ended without an error")
+	case <-time.After(time.Second):
+		assert.Fail(t, "the stream is still read")
+	}
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -19,6 +19,9 @@
 	acceptRetryDelay     = 10 * time.Millisecond // after an error of the listener
 )
 
+// pastDeadline is a deadline that ends a read in progress at once.
+var pastDeadline = time.Unix(1, 0)
+
 const (
 	// maxNonMemberConns is the maximum number of accepted connections from instances that are not members. It allows
 	// two for each of 1,024 followers, which may all depend on a single remaining voter.
@@ -120,7 +123,11 @@
 	if handler == nil {
 		return fmt.Errorf("%w: no handler for kind %d from %s", ErrInvalidFrame, request.Kind, clientID)
 	}
-	body, err := handler(clientID, request.Body, &streamReader{frames: reader, callID: request.CallID})
+	stream := &streamReader{frames: reader, callID: request.CallID}
+	body, err := handler(clientID, request.Body, stream)
+	if interrupted := stream.detach(func() { conn.SetReadDeadline(pastDeadline) }); interrupted {
+		return fmt.Errorf("%w: call of kind %d from %s", errHandlerReturned, request.Kind, clientID)
+	}
 	response := newResponse(request.CallID, body, err)
 	conn.SetWriteDeadline(time.Now().Add(responseTimeout))
 	if _, err := conn.Write(response.Append(nil)); err != nil {
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 )
 
 const (
@@ -31,9 +32,14 @@
 	}
 }
 
-// streamReader is an io.Reader of a call's stream. It skips duplicates of earlier chunks and fails if a chunk is
-// missing.
+// errHandlerReturned is the error of a read from a stream after the handler of the call has returned.
+var errHandlerReturned = errors.New("the handler of the call has returned")
+
+// streamReader is an io.Reader of a call's stream. It skips duplicates of earlier chunks and fails if a chunk is missing.
+// Once detach has returned, it reads nothing more from the connection.
 type streamReader struct {
+	mu           sync.Mutex // held during a read
+	detached     bool
 	frames       io.Reader
 	callID       uint64
 	nextSequence uint64 // sequence number of the next chunk
@@ -41,8 +47,26 @@
 	err          error  // permanent; returned once unread is empty
 }
 
+// detach makes later reads fail. If a read is in progress, it calls interrupt, which must end that read, and waits for its
+// end. It reports whether a read was in progress, so that an unknown part of a frame has been read.
+func (s *streamReader) detach(interrupt func()) (interrupted bool) {
+	if !s.mu.TryLock() {
+		interrupted = true
+		interrupt()
+		s.mu.Lock()
+	}
+	defer s.mu.Unlock()
+	s.detached = true
+	return interrupted
+}
+
 // Read implements io.Reader.
 func (s *streamReader) Read(buffer []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.detached {
+		return 0, errHandlerReturned
+	}
 	for len(s.unread) == 0 {
 		if s.err != nil {
 			return 0, s.err
