Count an evicted connection against the allowance only once

Cause: an evicted connection counts as open until its goroutine has ended. A call that came before found more connections than allowed and evicted one for the excess and one for itself.

Change: evicted connections are counted, and no longer count against the allowance.

--- a/storepool/connection.go
+++ b/storepool/connection.go
@@ -22,6 +22,8 @@
 	writeReady chan struct{}
 	// closed is closed when the connection is.
 	closed chan struct{}
+	// evicted is set once the pool has chosen the connection to make room for another. The pool's lock guards it.
+	evicted bool
 
 	// mu guards everything below.
 	mu         sync.Mutex
--- a/storepool/pool.go
+++ b/storepool/pool.go
@@ -43,7 +43,9 @@
 	retiring []*connection
 	// openConnections is the number of connections, including closed ones whose descriptor may not be released yet.
 	openConnections int
-	closed          bool
+	// evictedConnections is the number of those that were evicted. They make room for others before they are released.
+	evictedConnections int
+	closed             bool
 }
 
 // New returns a pool without stores.
@@ -140,8 +142,11 @@
 }
 
 // connectionReleased records that a connection has released its descriptor.
-func (p *Pool) connectionReleased() {
+func (p *Pool) connectionReleased(c *connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.openConnections--
+	if c.evicted {
+		p.evictedConnections--
+	}
 }
--- a/storepool/pool_test.go
+++ b/storepool/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -45,3 +46,42 @@
 	close(paused.release)
 	assert.Eventually(t, func() bool { return openConnections(p) == 0 }, eventTimeout, time.Millisecond)
 }
+
+// Guards against a pool that closes more idle connections than it needs: one that was evicted counts as open until its goroutine
+// has ended, and must not be counted against the allowance again meanwhile.
+func TestEvictedConnectionMakesRoomAtOnce(t *testing.T) {
+	const idleConnections, newConnections = 4, 2
+	p := New(limitsWith(1), nil, testserver.DiscardLog())
+	p.ConnectionAllowance = func() int { return idleConnections }
+	var list []Store
+	for id := range uint32(idleConnections + newConnections) {
+		store := listedStore("")
+		store.ID = id
+		list = append(list, store)
+	}
+	p.UpdateEndpoints(list)
+	var idle []*connection
+	for _, store := range list[:idleConnections] { // established, but without the goroutine that ends with the connection
+		c := newConnection(p, store)
+		c.netConn, _ = net.Pipe()
+		p.stores[store.ID].connections = []*connection{c}
+		p.openConnections++
+		idle = append(idle, c)
+	}
+	paused := newPausedDial()
+	paused.started = make(chan struct{}, newConnections)
+	p.SetDialer(paused.dial)
+	t.Cleanup(func() { close(paused.release) })
+	for _, store := range list[idleConnections:] {
+		require.NoError(t, p.enqueue(store.ID, writeRequest{healthCheck: &healthCheck{done: func(broker.AttemptResult) {}}}))
+	}
+	evicted := 0
+	for _, c := range idle {
+		c.mu.Lock()
+		if c.retired {
+			evicted++
+		}
+		c.mu.Unlock()
+	}
+	assert.Equal(t, newConnections, evicted)
+}
--- a/storepool/selection.go
+++ b/storepool/selection.go
@@ -55,7 +55,7 @@
 	}
 	remaining := 1 // connections that may still be opened
 	if p.ConnectionAllowance != nil {
-		remaining = p.ConnectionAllowance() - p.openConnections
+		remaining = p.ConnectionAllowance() - (p.openConnections - p.evictedConnections)
 	}
 	if remaining < 0 {
 		p.evictIdleLocked(nil)
@@ -121,6 +121,8 @@
 	if oldest == nil {
 		return false
 	}
+	oldest.evicted = true
+	p.evictedConnections++
 	oldest.retireIdle()
 	return true
 }
--- a/storepool/writer.go
+++ b/storepool/writer.go
@@ -54,7 +54,7 @@
 // run establishes the connection and writes the queued requests until it is closed.
 func (c *connection) run(dial Dial) {
 	// A dial cannot be interrupted, so the connection counts as open until the dial has returned.
-	defer c.pool.connectionReleased()
+	defer c.pool.connectionReleased(c)
 	netConn, ok := c.connect(dial)
 	if !ok {
 		return
