--- a/processtest/request_memory_test.go
+++ b/processtest/request_memory_test.go
@@ -26,9 +26,8 @@
 const (
 	// unfinishedRounds is the number of requests that each client of these tests leaves unfinished.
 	unfinishedRounds = 3
-	// badClientTimeout limits the wait of a bad client for an error or a close. The program's own timeout is 2.2 s; the rest is
-	// for a crowded machine, since this test is about memory.
-	badClientTimeout = 10 * time.Second
+	// badClientTimeout is the time within which the platform's pages owe a bad client an error or a close.
+	badClientTimeout = 3 * time.Second
 	// memorySampleInterval is the time between two looks at the memory of the program.
 	memorySampleInterval = 20 * time.Millisecond
 )
