--- a/review/rig/platform.go
+++ b/review/rig/platform.go
@@ -140,6 +140,9 @@
 	}
 }
 
+// ErrNotReady is wrapped by the error of an instance whose health checks failed for 30 s after its start.
+var ErrNotReady = errors.New("not ready within 30 s")
+
 // Gatherer is an instance at the platform's front.
 type Gatherer struct {
 	*Process
@@ -185,7 +188,7 @@
 			return g, nil
 		}
 	}
-	return nil, errors.New(name + " was not ready within 30 s")
+	return nil, fmt.Errorf("%s: %w", name, ErrNotReady)
 }
 
 // Healthy reports whether a health check succeeds.
