--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -19,6 +19,7 @@
 	Shard    int
 	TimeLeft time.Duration // as the frame states it
 	Key      string
+	Text     string // of the query
 	At       time.Time
 }
 
@@ -30,10 +31,13 @@
 	Name, Addr string
 	// Work is the time that each part takes.
 	Work time.Duration
+	// Spoil returns the value that is sent in place of the one that the store made; nil: none is spoilt.
+	Spoil func(made string) string
 
 	trial    *Trial
 	mu       sync.Mutex
 	attempts []Attempt
+	sent     map[string][]string
 }
 
 // StartStore starts a store.
@@ -42,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{Name: name, Addr: listener.Addr().String(), Work: work, trial: t}
+	s := &Store{Name: name, Addr: listener.Addr().String(), Work: work, trial: t, sent: map[string][]string{}}
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -67,6 +71,13 @@
 	return append([]Attempt(nil), s.attempts...)
 }
 
+// Sent returns the values that the store has sent for a part.
+func (s *Store) Sent(id string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.sent[id]...)
+}
+
 func (s *Store) serve(c net.Conn) {
 	defer c.Close()
 	r := bufio.NewReader(c)
@@ -114,7 +125,7 @@
 			return fmt.Errorf("bad length in %q", line)
 		}
 		text = rest[length:]
-		a := Attempt{ID: fields[0], At: time.Now()}
+		a := Attempt{ID: fields[0], Text: rest[:length], At: time.Now()}
 		a.Shard, _ = strconv.Atoi(fields[1])
 		for _, item := range strings.Split(fields[2], ",") {
 			if ms, ok := strings.CutPrefix(item, "d="); ok {
@@ -131,7 +142,14 @@
 		s.trial.Record("store %s received part %s, %d ms left", s.Name, a.ID, a.TimeLeft.Milliseconds())
 		go func() {
 			time.Sleep(s.Work)
-			send('5', fmt.Sprintf("%s S 1 rps=1,waiting=0\n%s", a.ID, Value(a.ID)))
+			value := Value(a.ID)
+			if s.Spoil != nil {
+				value = s.Spoil(value)
+			}
+			s.mu.Lock()
+			s.sent[a.ID] = append(s.sent[a.ID], value)
+			s.mu.Unlock()
+			send('5', fmt.Sprintf("%s S 1 rps=1,waiting=0\n%s", a.ID, value))
 		}()
 	}
 	return nil
