--- a/review/6/standin/main.go
+++ b/review/6/standin/main.go
@@ -4,6 +4,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -15,9 +16,10 @@
 )
 
 const (
-	queries   = 150
+	queries   = 600              // at most
+	length    = 20 * time.Second // of the load, at most
 	storeWork = 20 * time.Millisecond
-	spoiltOne = 20 // one in so many answers of one of the two stores
+	spoiltOne = 40 // one in so many answers of each store
 )
 
 func main() { rig.Run(play) }
@@ -53,12 +55,12 @@
 func play(t *rig.Trial) error {
 	var stores []*rig.Store
 	var entries []rig.Entry
-	for i, name := range []string{"s-1", "s-2"} {
+	for _, name := range []string{"s-1", "s-2"} {
 		s, err := t.StartStore(name, storeWork)
 		if err != nil {
 			return err
 		}
-		if t.Trouble && i == 0 {
+		if t.Trouble {
 			s.Spoil = noise()
 		}
 		stores = append(stores, s)
@@ -78,7 +80,8 @@
 	}
 	defer c.Close()
 	reader := bufio.NewReader(c)
-	for i := range queries {
+	begin := time.Now()
+	for i := 0; i < queries && time.Since(begin) < length; i++ {
 		id := fmt.Sprintf("%016x", 0x9b1f03aa5c7e7d00+uint64(i))
 		if _, err := c.Write(rig.Request("price-lookup", id, "4.000", "", "c41e77d0", 0, 1, 2, 3)); err != nil {
 			return err
@@ -95,6 +98,9 @@
 			}
 		}
 	}
+	if t.Trouble && stores[0].Spoilt()+stores[1].Spoilt() == 0 {
+		return errors.New("no answer was spoilt")
+	}
 	return nil
 }
 
--- a/review/9/standin/main.go
+++ b/review/9/standin/main.go
@@ -97,6 +97,7 @@
 			return err
 		}
 		served[response.Status]++
+		t.Record("%s answered %d", id, response.Status)
 		time.Sleep(interval)
 	}
 	t.Record("answers by status: %v", served)
--- a/review/rig/platform.go
+++ b/review/rig/platform.go
@@ -183,6 +183,11 @@
 	}
 	g := &Gatherer{Process: p, Name: name, Addr: addr}
 	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-p.Exited(): // for example because its port is in use by now
+			return nil, fmt.Errorf("%s has ended: %s", name, t.Log(name))
+		default:
+		}
 		if g.Healthy() {
 			t.Record("%s is ready", name)
 			return g, nil
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -31,13 +31,15 @@
 	Name, Addr string
 	// Work is the time that each part takes.
 	Work time.Duration
-	// Spoil returns the value that is sent in place of the one that the store made; nil: none is spoilt.
+	// Spoil returns the value that is sent in place of the one that the store made; nil: none is spoilt. After a spoilt answer
+	// its connection stays open but serves no further use.
 	Spoil func(made string) string
 
 	trial    *Trial
 	mu       sync.Mutex
 	attempts []Attempt
 	sent     map[string][]string
+	spoilt   int
 }
 
 // StartStore starts a store.
@@ -71,6 +73,13 @@
 	return append([]Attempt(nil), s.attempts...)
 }
 
+// Spoilt returns the number of spoilt answers that the store has sent.
+func (s *Store) Spoilt() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.spoilt
+}
+
 // Sent returns the values that the store has sent for a part.
 func (s *Store) Sent(id string) []string {
 	s.mu.Lock()
@@ -82,12 +91,16 @@
 	defer c.Close()
 	r := bufio.NewReader(c)
 	var writing sync.Mutex
-	send := func(letter byte, text string) {
+	useless := false
+	send := func(letter byte, text string, last bool) {
 		frame := binary.BigEndian.AppendUint32(nil, uint32(len(text)+1))
 		frame = append(append(frame, letter), text...)
 		writing.Lock()
 		defer writing.Unlock()
-		_, _ = c.Write(frame)
+		if !useless {
+			_, _ = c.Write(frame)
+		}
+		useless = useless || last
 	}
 	for {
 		var head [5]byte
@@ -101,19 +114,19 @@
 		switch head[4] {
 		case '1':
 			if err := s.handleCall(string(rest), send); err != nil {
-				send('X', err.Error())
+				send('X', err.Error(), true)
 				return
 			}
 		case '3':
-			send('3', "S")
+			send('3', "S", false)
 		case '4':
-			send('4', "rps=1,waiting=0")
+			send('4', "rps=1,waiting=0", false)
 		}
 	}
 }
 
 // handleCall begins to work on the parts of a call.
-func (s *Store) handleCall(text string, send func(byte, string)) error {
+func (s *Store) handleCall(text string, send func(byte, string, bool)) error {
 	for text != "" {
 		line, rest, _ := strings.Cut(text, "\n")
 		fields := strings.Split(line, " ")
@@ -142,14 +155,19 @@
 		s.trial.Record("store %s received part %s, %d ms left", s.Name, a.ID, a.TimeLeft.Milliseconds())
 		go func() {
 			time.Sleep(s.Work)
-			value := Value(a.ID)
+			made := Value(a.ID)
+			value := made
 			if s.Spoil != nil {
-				value = s.Spoil(value)
+				value = s.Spoil(made)
 			}
 			s.mu.Lock()
 			s.sent[a.ID] = append(s.sent[a.ID], value)
+			if value != made {
+				s.spoilt++
+			}
 			s.mu.Unlock()
-			send('5', fmt.Sprintf("%s S 1 rps=1,waiting=0\n%s", a.ID, value))
+			s.trial.Record("store %s answers part %s: %q", s.Name, a.ID, value)
+			send('5', fmt.Sprintf("%s S 1 rps=1,waiting=0\n%s", a.ID, value), value != made)
 		}()
 	}
 	return nil
--- a/review/rig/trial.go
+++ b/review/rig/trial.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -56,8 +57,12 @@
 	t.Record("trial begins, trouble %t", t.Trouble)
 	done := make(chan error, 1)
 	go func() { done <- play(t) }()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	select {
 	case err = <-done:
+	case s := <-signals:
+		err = fmt.Errorf("ended by %s", s)
 	case <-time.After(Limit):
 		err = fmt.Errorf("not done within %s", Limit)
 	}
