Treat a store's answer that is not UTF-8 as a failed attempt

The OpenSearch front checked the syntax of a body, not its encoding.

Change: such an answer is malformed, its attempt may have run and is retried as the class allows, and its connection is closed.

--- a/internal/jsonscan/jsonscan.go
+++ b/internal/jsonscan/jsonscan.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math"
 	"strconv"
+	"unicode/utf8"
 )
 
 // ErrSyntax is wrapped by every error about text that is not valid JSON or not of the requested type.
@@ -38,9 +39,9 @@
 	}
 	switch b[i] {
 	case '{':
-		return visitMembers(b, i, '}', depth, func(string, []byte) error { return nil })
+		return visitMembers(b, i, '}', depth, nil)
 	case '[':
-		return visitMembers(b, i, ']', depth, func(string, []byte) error { return nil })
+		return visitMembers(b, i, ']', depth, nil)
 	case '"':
 		return skipString(b, i)
 	case 't', 'f', 'n':
@@ -54,9 +55,20 @@
 	return skipNumber(b, i)
 }
 
+// isPlain tells for each byte whether it stands for itself within a string.
+var isPlain = func() (plain [256]bool) {
+	for c := range plain {
+		plain[c] = c >= 0x20 && c != '"' && c != '\\'
+	}
+	return plain
+}()
+
 // skipString returns the index after the string that begins at i.
 func skipString(b []byte, i int) (int, error) {
 	for j := i + 1; j < len(b); j++ {
+		if isPlain[b[j]] {
+			continue
+		}
 		switch c := b[j]; {
 		case c == '"':
 			return j + 1, nil
@@ -121,17 +133,17 @@
 }
 
 // visitMembers calls visit for each member of the object or array that begins at i, with an empty key in an array, and
-// returns the index after it.
+// returns the index after it. If visit is nil, the keys are not decoded.
 func visitMembers(b []byte, i int, closer byte, depth int, visit func(key string, raw []byte) error) (int, error) {
 	i = skipSpace(b, i+1)
 	if i < len(b) && b[i] == closer {
 		return i + 1, nil
 	}
 	for {
-		key := ""
+		var rawKey []byte
 		if closer == '}' {
 			var err error
-			if key, i, err = readKey(b, i); err != nil {
+			if rawKey, i, err = skipKey(b, i); err != nil {
 				return 0, err
 			}
 		}
@@ -139,8 +151,10 @@
 		if err != nil {
 			return 0, err
 		}
-		if err := visit(key, b[i:end]); err != nil {
-			return 0, err
+		if visit != nil {
+			if err := visitMember(rawKey, b[i:end], visit); err != nil {
+				return 0, err
+			}
 		}
 		if i = skipSpace(b, end); i >= len(b) {
 			return 0, syntaxError(i, "unfinished object or array")
@@ -155,23 +169,32 @@
 	}
 }
 
-// readKey returns the key that begins at i, and the index at which its value begins.
-func readKey(b []byte, i int) (key string, valueStart int, err error) {
+// visitMember calls visit with a member's decoded key. An item of an array has no key.
+func visitMember(rawKey, raw []byte, visit func(key string, raw []byte) error) error {
+	if rawKey == nil {
+		return visit("", raw)
+	}
+	key, err := String(rawKey)
+	if err != nil {
+		return err
+	}
+	return visit(key, raw)
+}
+
+// skipKey returns the key that begins at i, and the index at which its value begins.
+func skipKey(b []byte, i int) (rawKey []byte, valueStart int, err error) {
 	if i >= len(b) || b[i] != '"' {
-		return "", 0, syntaxError(i, "a key is missing")
+		return nil, 0, syntaxError(i, "a key is missing")
 	}
 	end, err := skipString(b, i)
 	if err != nil {
-		return "", 0, err
-	}
-	if key, err = String(b[i:end]); err != nil {
-		return "", 0, err
+		return nil, 0, err
 	}
 	colon := skipSpace(b, end)
 	if colon >= len(b) || b[colon] != ':' {
-		return "", 0, syntaxError(colon, "a colon is missing")
+		return nil, 0, syntaxError(colon, "a colon is missing")
 	}
-	return key, skipSpace(b, colon+1), nil
+	return b[i:end], skipSpace(b, colon+1), nil
 }
 
 // visitValue calls visit for each member of the object or array that b holds. Only white space may follow the value.
@@ -200,6 +223,15 @@
 	return visitValue(b, '[', ']', func(_ string, raw []byte) error { return visit(raw) })
 }
 
+// CheckEncoding returns nil if b is UTF-8, as JSON text must be, else an error that wraps ErrSyntax. The other functions accept
+// any bytes within strings that they don't decode, so that one bad string does not make the rest of a text useless.
+func CheckEncoding(b []byte) error {
+	if !utf8.Valid(b) {
+		return fmt.Errorf("%w: not UTF-8", ErrSyntax)
+	}
+	return nil
+}
+
 // Valid returns nil if b is a single JSON value, else an error that wraps ErrSyntax.
 func Valid(b []byte) error {
 	end, err := skipValue(b, skipSpace(b, 0), 0)
@@ -258,7 +290,8 @@
 	return false, syntaxError(0, "neither true nor false")
 }
 
-// AppendString appends text to dst as a JSON string.
+// AppendString appends text to dst as a JSON string. The text must be UTF-8: JSON cannot represent other bytes, and each of them
+// would be replaced by U+FFFD.
 func AppendString(dst []byte, text []byte) []byte {
 	for _, c := range text {
 		if c < 0x20 || c >= 0x80 || c == '"' || c == '\\' {
--- a/internal/testserver/fault.go
+++ b/internal/testserver/fault.go
@@ -3,6 +3,9 @@
 // Fault is what a store does with a request instead of answering it normally.
 type Fault string
 
+// noiseBytes is a part of an answer that is not UTF-8.
+const noiseBytes = "v\x9c\xe2\x28\xff"
+
 // The faults that can be injected.
 const (
 	None         Fault = ""
@@ -14,6 +17,7 @@
 	Unresponsive Fault = "silent"    // reads the request and does not answer it
 	Stalled      Fault = "mute"      // stops answering on the connection and keeps it open; frames only
 	Malformed    Fault = "malformed" // responds with bytes that violate the protocol
+	NotUTF8      Fault = "not UTF-8" // answers with bytes that are not UTF-8 in the value or a hit, then not any more on the connection
 	NoiseBehind  Fault = "noise"     // sends the beginning of a frame right behind a large answer; frames only
 	Down         Fault = "down"      // closes the connections and accepts none
 )
@@ -36,5 +40,6 @@
 	{Reset, 200, 429, 503},
 	{Unresponsive, 200, 429, 504},
 	{Malformed, 200, 429, 503},
+	{NotUTF8, 200, 429, 503},
 	{Down, 200, 429, 503},
 }
--- a/internal/testserver/framestore.go
+++ b/internal/testserver/framestore.go
@@ -69,9 +69,11 @@
 		f.send(resultFrame, part+" B 0 -\n")
 	case Malformed:
 		f.send(resultFrame, "nonsense")
+	case NotUTF8:
+		f.send(resultFrame, part+" S 1840277719 -\n"+noiseBytes)
+		return f.discardRequests()
 	case Stalled:
-		_, _ = io.Copy(io.Discard, f.reader) // until the other side closes the connection
-		return io.EOF
+		return f.discardRequests()
 	case Reset:
 		return io.EOF
 	case Unresponsive, Down:
@@ -89,6 +91,12 @@
 	return nil
 }
 
+// discardRequests reads requests without answering them until the other side closes the connection.
+func (f *frameConnection) discardRequests() error {
+	_, _ = io.Copy(io.Discard, f.reader)
+	return io.EOF
+}
+
 // send writes a frame.
 func (f *frameConnection) send(kind byte, text string) { f.write(appendFrame(nil, kind, text)) }
 
--- a/internal/testserver/searchstore.go
+++ b/internal/testserver/searchstore.go
@@ -44,6 +44,11 @@
 	case Rejecting:
 		status = http.StatusTooManyRequests
 		body = `{"error":{"type":"rejected_execution_exception"},"status":429}`
+	case NotUTF8:
+		hits := searchHits(shardOf(request.Target)+` {"_id":"`+noiseBytes+`","_score":1,"sort":[1,"x"]}`, request.Target)
+		_, _ = c.Write(httpwire.AppendResponse(nil, status, nil, []byte(hits), false))
+		_, _ = io.Copy(io.Discard, r) // until the other side closes the connection
+		return io.EOF
 	case Malformed:
 		_, _ = c.Write([]byte("nonsense\r\n\r\n"))
 		return io.EOF
--- a/opensearch/codec.go
+++ b/opensearch/codec.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
 	"alderproxy/broker"
 	"alderproxy/httpwire"
+	"alderproxy/internal/jsonscan"
 	"alderproxy/policy"
 	"alderproxy/storepool"
 )
@@ -39,7 +41,8 @@
 func (codec) AppendHealthCheck(to []byte) []byte { return to }
 
 // Read reads a response. A status 429 means that the store rejected the search before running it. A 200 whose body does
-// not hold a complete result (see parseResult) is a server error, as is any higher status. A status below 200 is malformed.
+// not hold a complete result (see parseResult) is a server error, as is any higher status. If the body cannot be read as JSON,
+// nothing else that comes on the connection is trusted either. A status below 200 is malformed.
 func (codec) Read(r *bufio.Reader) (storepool.Message, error) {
 	resp, err := httpwire.ReadResponseUpTo(r, maxResponseBytes)
 	if err != nil {
@@ -50,10 +53,12 @@
 	case resp.Status == http.StatusTooManyRequests:
 		result.Status = policy.Rejected
 	case resp.Status == http.StatusOK:
-		if _, err := parseResult(resp.Body); err == nil {
+		_, err := parseResult(resp.Body)
+		if err == nil {
 			result.Status = policy.OK
 			result.Body = resp.Body
 		}
+		resp.Close = resp.Close || errors.Is(err, jsonscan.ErrSyntax)
 	case resp.Status < http.StatusOK:
 		return storepool.Message{}, fmt.Errorf("%w: status %d", storepool.ErrMalformed, resp.Status)
 	}
--- a/opensearch/result.go
+++ b/opensearch/result.go
@@ -37,6 +37,9 @@
 // shards or hits, it returns an error that wraps errPartMissing: an incomplete result must not be taken for a complete one.
 func parseResult(body []byte) (*storeResult, error) {
 	r := &storeResult{}
+	if err := jsonscan.CheckEncoding(body); err != nil {
+		return nil, err
+	}
 	if err := jsonscan.Object(body, r.parseMember); err != nil {
 		return nil, err
 	}
--- a/opensearch/unexpectedinput_test.go
+++ b/opensearch/unexpectedinput_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"unicode/utf8"
 
 	"github.com/stretchr/testify/assert"
 
@@ -81,3 +82,16 @@
 		})
 	}
 }
+
+// Guards against noise in a store's hits that reaches a client: its response would not be JSON. The search of that part must
+// be retried at the other store.
+func TestHitThatIsNotUTF8ReachesNoClient(t *testing.T) {
+	r := startTestFront(t, 1000)
+	r.stores[0].SetFault(testserver.NotUTF8)
+	for range 10 {
+		resp := r.search(t, "/catalogue/_search", `{}`).ReadResponse()
+		assert.Equal(t, 200, resp.Status)
+		assert.True(t, utf8.Valid(resp.Body), "%q", resp.Body)
+		assert.Equal(t, "acbd", decode(t, resp.Body).ids())
+	}
+}
