Reject strings that stand for no text in place of replacing their bytes

The OpenSearch front forwarded such bodies.

Cause: jsonscan.String decoded strings with encoding/json, which replaces what is not UTF-8 and unpaired surrogates.

Change: String rejects both, in values and in keys; both fronts check the whole request. What is only forwarded keeps its escapes.

--- a/internal/jsonscan/jsonscan.go
+++ b/internal/jsonscan/jsonscan.go
@@ -3,12 +3,10 @@
 package jsonscan
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
 	"strconv"
-	"unicode/utf8"
 )
 
 // ErrSyntax is wrapped by every error about text that is not valid JSON or not of the requested type.
@@ -223,15 +221,6 @@
 	return visitValue(b, '[', ']', func(_ string, raw []byte) error { return visit(raw) })
 }
 
-// CheckEncoding returns nil if b is UTF-8, as JSON text must be, else an error that wraps ErrSyntax. The other functions accept
-// any bytes within strings that they don't decode, so that one bad string does not make the rest of a text useless.
-func CheckEncoding(b []byte) error {
-	if !utf8.Valid(b) {
-		return fmt.Errorf("%w: not UTF-8", ErrSyntax)
-	}
-	return nil
-}
-
 // Valid returns nil if b is a single JSON value, else an error that wraps ErrSyntax.
 func Valid(b []byte) error {
 	end, err := skipValue(b, skipSpace(b, 0), 0)
@@ -241,23 +230,6 @@
 	return err
 }
 
-// String decodes a string.
-func String(raw []byte) (string, error) {
-	if len(raw) < 2 || raw[0] != '"' {
-		return "", syntaxError(0, "no string")
-	}
-	for _, c := range raw {
-		if c == '\\' || c >= 0x80 {
-			var s string
-			if err := json.Unmarshal(raw, &s); err != nil {
-				return "", fmt.Errorf("%w: %w", ErrSyntax, err)
-			}
-			return s, nil
-		}
-	}
-	return string(raw[1 : len(raw)-1]), nil
-}
-
 // Number decodes a number.
 func Number(raw []byte) (float64, error) {
 	v, err := strconv.ParseFloat(string(raw), 64)
@@ -289,20 +261,3 @@
 	}
 	return false, syntaxError(0, "neither true nor false")
 }
-
-// AppendString appends text to dst as a JSON string. The text must be UTF-8: JSON cannot represent other bytes, and each of them
-// would be replaced by U+FFFD.
-func AppendString(dst []byte, text []byte) []byte {
-	for _, c := range text {
-		if c < 0x20 || c >= 0x80 || c == '"' || c == '\\' {
-			quoted, err := json.Marshal(string(text))
-			if err != nil { // a string can always be encoded
-				quoted = []byte(`""`)
-			}
-			return append(dst, quoted...)
-		}
-	}
-	dst = append(dst, '"')
-	dst = append(dst, text...)
-	return append(dst, '"')
-}
--- a/internal/jsonscan/jsonscan_test.go
+++ b/internal/jsonscan/jsonscan_test.go
@@ -81,3 +81,30 @@
 		}
 	})
 }
+
+// Guards against strings that are decoded as other texts than were sent, with U+FFFD in place of what stands for no text.
+func TestStringsThatStandForNoTextAreErrors(t *testing.T) {
+	for raw, want := range map[string]string{
+		`"ß東\u00df\uFFFD"`:   "ß東ß\uFFFD",
+		"\"\uFFFD\"":         "\uFFFD",
+		`"\ud83d\uDE00!"`:    "\U0001F600!",
+		`"\\ud83d"`:          `\ud83d`,
+		`"\"\ud83d\ude00\\"`: "\"\U0001F600\\",
+	} {
+		got, err := String([]byte(raw))
+		require.NoError(t, err, raw)
+		assert.Equal(t, want, got, raw)
+		require.NoError(t, CheckText([]byte(raw)), raw)
+	}
+	for _, raw := range []string{
+		"\"\xff\"", "\"a\xe2\x28\"", "\"\xe2\x82\"", "\"\\n\xff\"", "\"\xed\xa0\xbd\"", // the last is a surrogate in three bytes
+		`"\ud83d"`, `"\ude00"`, `"\ud83dx"`, `"\ud83d\n"`, `"\ud83d\ud83d\ude00"`, `"\ude00\ud83d"`, `"\ud83d\u00e9"`,
+	} {
+		_, err := String([]byte(raw))
+		require.ErrorIs(t, err, ErrSyntax, "%q", raw)
+		require.ErrorIs(t, CheckText([]byte(raw)), ErrSyntax, "%q", raw)
+		visit := func(string, []byte) error { return nil }
+		require.ErrorIs(t, Object([]byte("{"+raw+":1}"), visit), ErrSyntax, "key %q", raw)
+		require.NoError(t, Object([]byte(`{"a":{`+raw+`:[`+raw+`]}}`), visit), "skipped %q", raw)
+	}
+}
--- a/opensearch/multisearch.go
+++ b/opensearch/multisearch.go
@@ -55,6 +55,9 @@
 	if !bytes.HasSuffix(x.Body, []byte("\n")) {
 		return nil, errors.New("The msearch request must be terminated by a newline [\\n]") //nolint:revive,staticcheck // OpenSearch's wording
 	}
+	if err := jsonscan.CheckEncoding(x.Body); err != nil {
+		return nil, err
+	}
 	lines := bytes.Split(bytes.TrimSuffix(x.Body, []byte("\n")), []byte("\n"))
 	if len(lines)%2 != 0 {
 		return nil, errors.New("a header line without a search")
--- a/opensearch/request.go
+++ b/opensearch/request.go
@@ -39,6 +39,9 @@
 	if len(bytes.TrimSpace(body)) == 0 {
 		body = []byte("{}")
 	}
+	if err := jsonscan.CheckEncoding(body); err != nil {
+		return nil, err
+	}
 	if err := jsonscan.Object(body, s.parseMember); err != nil {
 		return nil, err
 	}
--- a/opensearch/result.go
+++ b/opensearch/result.go
@@ -119,12 +119,19 @@
 		case key == "_score" && string(raw) != "null":
 			h.score, err = jsonscan.Number(raw)
 		case key == "sort":
-			err = jsonscan.Array(raw, func(raw []byte) error {
-				h.sort = append(h.sort, raw)
-				return nil
-			})
+			err = jsonscan.Array(raw, h.addSortValue)
 		}
 		return err
 	})
 	return h, err
 }
+
+// addSortValue adds a value by which the hit is sorted. A string that cannot be decoded has no place in the order.
+func (h *hit) addSortValue(raw []byte) error {
+	h.sort = append(h.sort, raw)
+	if raw[0] != '"' {
+		return nil
+	}
+	_, err := jsonscan.String(raw)
+	return err
+}
--- a/opensearch/unexpectedinput_test.go
+++ b/opensearch/unexpectedinput_test.go
@@ -12,8 +12,10 @@
 	"unicode/utf8"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"alderproxy/httpwire"
+	"alderproxy/internal/jsonscan"
 	"alderproxy/internal/testserver"
 )
 
@@ -95,3 +97,36 @@
 		assert.Equal(t, "acbd", decode(t, resp.Body).ids())
 	}
 }
+
+// Guards against a search that is no JSON and reaches the stores. Escapes that are only forwarded must keep their bytes, whatever
+// they stand for.
+func TestSearchThatIsNotUTF8ReachesNoStore(t *testing.T) {
+	store := testserver.NewSearchStore(t, storedHits)
+	r := startFront(t, documentOfOneShard, store)
+	for _, c := range []struct{ target, body string }{
+		{"/names/_search", "{\"query\":{\"match\":{\"name\":\"\xff\"}}}"},
+		{"/names/_search", "{\"query\":{\"match\":{\"\xff\":1}}}"},
+		{"/names/_search", "{\"\xff\":1}"},
+		{"/names/_search", `{"timeout":"1s\ud83d"}`},
+		{"/names/_search", `{"sort":["\ud83d"]}`},
+		{"/names/_search", `{"sort":[{"\ud83d":"asc"}]}`},
+		{"/_msearch", "{\"index\":\"names\"}\n{\"query\":{\"match\":{\"name\":\"\xff\"}}}\n"},
+		{"/_msearch", "{\"index\":\"names\",\"x\":\"\xff\"}\n{}\n"},
+		{"/_msearch", "{\"index\":\"names\\ud83d\"}\n{}\n"},
+	} {
+		assert.Equal(t, 400, r.search(t, c.target, c.body).ReadResponse().Status, "%q", c.body)
+	}
+	assert.Empty(t, store.Requests)
+	query := `{"match":{"n\ud83d":"ß\u00df\ud83d\\"}}`
+	assert.Equal(t, 200, r.search(t, "/names/_search", `{"query":`+query+`}`).ReadResponse().Status)
+	assert.Contains(t, testserver.NextRequest(t, store), query)
+}
+
+// Guards against a sort value that cannot be decoded: its hit would have no place in the order.
+func TestSortValueThatStandsForNoText(t *testing.T) {
+	result := `{"_shards":{"failed":0},"hits":{"hits":[{"sort":["%s"]}]}}`
+	_, err := parseResult(fmt.Appendf(nil, result, `\ud83d\ude00`))
+	require.NoError(t, err)
+	_, err = parseResult(fmt.Appendf(nil, result, `\ud83d`))
+	require.ErrorIs(t, err, jsonscan.ErrSyntax)
+}
