Refuse changes of the shared document that are not UTF-8

What operators saw: a change whose document, author or reason is not UTF-8, or has an unpaired surrogate, was made with U+FFFD in place of it; `config put` did so with a file in Latin-1.

Cause: encoding/json replaces such text, in the client when it encodes and in the server when it decodes, before document.Parse can see it.

Change: the server answers 400, the client refuses before it sends.

--- a/admin/client.go
+++ b/admin/client.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"unicode/utf8"
 
 	"alderproxy/gossip"
 	"alderproxy/raftnode"
@@ -116,6 +117,11 @@
 
 // Put changes the shared document and returns the outcome.
 func (c Client) Put(change ConfigChange) (o sharedconfig.Outcome, err error) {
+	for _, text := range []string{change.Request, change.Text, change.Author, change.Reason} {
+		if !utf8.ValidString(text) { // JSON cannot represent it
+			return o, fmt.Errorf("%w: a text of the change is not UTF-8", ErrRejected)
+		}
+	}
 	err = c.call(http.MethodPost, "/v1/config", change, &o)
 	return o, err
 }
--- a/admin/config.go
+++ b/admin/config.go
@@ -1,7 +1,6 @@
 package admin
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -86,7 +85,7 @@
 
 func (s *Server) handlePut(w http.ResponseWriter, r *http.Request) {
 	var change ConfigChange
-	if err := json.NewDecoder(r.Body).Decode(&change); err != nil {
+	if err := readJSON(r, &change); err != nil {
 		writeError(w, http.StatusBadRequest, err)
 		return
 	}
@@ -124,7 +123,7 @@
 
 func (s *Server) handleInstances(w http.ResponseWriter, r *http.Request) {
 	var command raftnode.Command
-	if err := json.NewDecoder(r.Body).Decode(&command); err != nil || command.Change != nil {
+	if err := readJSON(r, &command); err != nil || command.Change != nil {
 		writeError(w, http.StatusBadRequest, errors.Join(err, errors.New("expected a command about instances")))
 		return
 	}
--- a/admin/server.go
+++ b/admin/server.go
@@ -1,10 +1,12 @@
 package admin
 
 import (
+	"bytes"
 	"crypto/subtle"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -14,6 +16,7 @@
 
 	"alderproxy/document"
 	"alderproxy/gossip"
+	"alderproxy/internal/jsonscan"
 	"alderproxy/raftnode"
 	"alderproxy/sharedconfig"
 )
@@ -120,6 +123,18 @@
 	Error string `json:"error"`
 }
 
+// readJSON decodes the body of a request. It rejects strings that encoding/json would decode as other texts than were sent.
+func readJSON(r *http.Request, into any) error {
+	text, err := io.ReadAll(r.Body)
+	if err != nil {
+		return err
+	}
+	if err := jsonscan.CheckText(text); err != nil {
+		return err
+	}
+	return json.NewDecoder(bytes.NewReader(text)).Decode(into)
+}
+
 func writeError(w http.ResponseWriter, status int, err error) {
 	writeJSON(w, status, errorBody{err.Error()})
 }
--- a/cmd/alderproxy/cli_test.go
+++ b/cmd/alderproxy/cli_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -80,6 +82,8 @@
 		{"config put " + file("odd.ini", initialDocument+"odd = 1\n"), 1, "", "alderproxy: refused: document:4: class lookup.odd: unknown key\n"},
 		{"config put " + file("index.ini", initialDocument+"[index i]\nclass = lookup\nslices = 0\n"), 1, "", "alderproxy: refused by n1: no store here holds slice 0\n"},
 		{"config put " + filepath.Join(dir, "none"), 1, "", "no such file"},
+		{"config put " + file("noise.ini", initialDocument+"# \xff\n"), 1, "", "alderproxy: refused: a text of the change is not UTF-8\n"},
+		{"config put " + quick + " --author \xff", 1, "", "alderproxy: refused: a text of the change is not UTF-8\n"},
 		{"config history", 0, "ada", ""},
 		{"config show --version 1", 0, initialDocument, ""},
 		{"config show --version 9", 1, "", "alderproxy: refused: version \"9\" is not in the history\n"},
@@ -163,3 +167,23 @@
 	assert.Equal(t, 0, status, errs)
 	assert.Contains(t, out, "only member of a new group")
 }
+
+// Guards against a change whose texts are not those that were sent, with U+FFFD in place of what stands for no text.
+func TestChangeThatIsNotUTF8IsRejected(t *testing.T) {
+	addr := startInstance(t, "")
+	send := func(path, body string) int {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+addr+path, strings.NewReader(body))
+		require.NoError(t, err)
+		response, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		return response.StatusCode
+	}
+	change := `{"request":"%s","expect":1,"author":"a%s","text":"[class lookup]\naim = 1s\ngive_up = 2s\n# %s\n"}`
+	for _, noise := range []string{"\xff", `\ud83d`} {
+		assert.Equal(t, 400, send("/v1/config", fmt.Sprintf(change, "r1", noise, "")))
+		assert.Equal(t, 400, send("/v1/config", fmt.Sprintf(change, "r2", "", noise)))
+		assert.Equal(t, 400, send("/v1/instances", `{"RemoveMember":"`+noise+`"}`))
+	}
+	assert.Equal(t, 200, send("/v1/config", fmt.Sprintf(change, "r3", "é", `\ud83d\ude00`)))
+}
