Write errors to the platform's clients as JSON strings

Cause: ErrorBody quoted the error as a Go string. A byte such as 0x7f or 0xff in an error makes that text invalid JSON. No request was found that brings such a byte into an error, so this is the same care at the remaining place that writes a string.

Evidence: TestErrorBodyIsJSON fails on the commit before.

--- a/httpwire/httpwire_test.go
+++ b/httpwire/httpwire_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"strings"
@@ -120,3 +122,12 @@
 		}
 	}
 }
+
+// Guards against an error that quotes what a peer sent and is no JSON.
+func TestErrorBodyIsJSON(t *testing.T) {
+	for text, want := range map[string]string{"a \"b\"\\": "a \"b\"\\", "\x00\x7f\U000e0001": "\x00\x7f\U000e0001", "\xff": "\uFFFD"} {
+		var decoded struct{ Error string }
+		require.NoError(t, json.Unmarshal(ErrorBody(errors.New(text)), &decoded), "%q", text)
+		assert.Equal(t, want, decoded.Error)
+	}
+}
--- a/httpwire/message.go
+++ b/httpwire/message.go
@@ -2,10 +2,11 @@
 
 import (
 	"errors"
-	"fmt"
 	"net/http"
 	"os"
 	"strings"
+
+	"alderproxy/internal/jsonscan"
 )
 
 // Limits on a message, in bytes: MaxBody on its body, MaxHead on its start line and header lines together. The size lines and
@@ -79,4 +80,7 @@
 }
 
 // ErrorBody returns a JSON object that holds the text of an error.
-func ErrorBody(err error) []byte { return fmt.Appendf(nil, "{\"error\":%q}", err.Error()) }
+func ErrorBody(err error) []byte {
+	body := jsonscan.AppendString([]byte(`{"error":`), []byte(strings.ToValidUTF8(err.Error(), "\uFFFD")))
+	return append(body, '}')
+}
