Look behind all unread bytes for a close before a query is sent on

Cause: Exchange.ClientDisconnected reported "connected" once the read buffer was full; the close is behind that.

--- a/httpwire/exchange.go
+++ b/httpwire/exchange.go
@@ -18,6 +18,8 @@
 	// buffers of both sides hold (10 MB with usual settings) is read within some 50 ms, so that a close behind it is noticed
 	// in time. The pauses leave processor time to others if a client keeps sending.
 	discardChunk = 512 << 10
+	// maxUnreadBytes is more than the socket buffers of both sides hold with usual settings.
+	maxUnreadBytes = 16 << 20
 	// disconnectPollTimeout limits one wait for the client's disconnect. A wait that expires is repeated.
 	disconnectPollTimeout = time.Minute
 )
@@ -75,18 +77,23 @@
 	x.cancelOnce = &sync.Once{}
 }
 
-// ClientDisconnected reports, without blocking, whether the client has already closed the connection. A process that was
-// suspended reads requests late, and must not forward those of clients that have disconnected. A close behind more pipelined
-// bytes than the buffer holds is not detected; AwaitDisconnect reads past them.
+// ClientDisconnected reports whether the client has already closed the connection. It does not wait for the client. A process
+// that was suspended reads requests late, and must not forward those of clients that have disconnected. A close may be behind
+// other requests, which are read like those that arrive during AwaitDisconnect: kept up to maxPipelinedBytes, and discarded
+// beyond that. A client of which more than maxUnreadBytes arrive meanwhile is still sending.
 func (x *Exchange) ClientDisconnected() bool {
 	x.conn.SetReadDeadline(time.Now().Add(disconnectPollTimeout))
 	x.pollConn.nonBlocking = true
 	defer func() { x.pollConn.nonBlocking = false }()
-	var err error
-	for err == nil {
-		_, err = x.reader.Peek(x.reader.Buffered() + 1)
+	var discarded int64
+	for discarded < maxUnreadBytes {
+		n, err := x.readAhead()
+		if err != nil {
+			return !errors.Is(err, errNoData)
+		}
+		discarded += n
 	}
-	return !errors.Is(err, errNoData) && !errors.Is(err, bufio.ErrBufferFull)
+	return false
 }
 
 // AwaitDisconnect blocks until the client closes the connection and returns true, or until CancelWait is called and returns
@@ -97,7 +104,7 @@
 		if x.waitCanceled() { // the deadline just set may have replaced that of CancelWait
 			return false
 		}
-		err := x.readAhead()
+		_, err := x.readAhead()
 		if err == nil {
 			continue
 		}
@@ -123,18 +130,19 @@
 }
 
 // readAhead waits for bytes behind those that the client has pipelined, which would hide a disconnect. It keeps them for the
-// next requests up to maxPipelinedBytes, and discards them beyond that. Its error is that of the connection.
-func (x *Exchange) readAhead() error {
-	_, err := x.reader.Peek(x.reader.Buffered() + 1)
+// next requests up to maxPipelinedBytes, and discards them beyond that. It returns the number of discarded bytes and the error of
+// the connection.
+func (x *Exchange) readAhead() (discarded int64, err error) {
+	_, err = x.reader.Peek(x.reader.Buffered() + 1)
 	switch {
 	case !errors.Is(err, bufio.ErrBufferFull):
-		return err
+		return 0, err
 	case x.reader.Size() < maxPipelinedBytes:
 		x.reader = bufio.NewReaderSize(x.reader, maxPipelinedBytes)
-		return nil
+		return 0, nil
 	}
 	x.Close = true // requests are discarded, so the connection must close after the response to the open one
-	_, err = io.CopyN(io.Discard, x.reader, discardChunk)
+	discarded, err = io.CopyN(io.Discard, x.reader, discardChunk)
 	time.Sleep(lingerInterval)
-	return err
+	return discarded, err
 }
--- a/processtest/process_test.go
+++ b/processtest/process_test.go
@@ -42,12 +42,22 @@
 
 // startCommand starts the program by a command, waits until it is ready, and returns a client and the log of the program.
 func startCommand(t *testing.T, c *exec.Cmd) (cl *testserver.Client, lines *bufio.Scanner) {
+	t.Helper()
+	return startCommandAfter(t, c, nil, "")
+}
+
+// startCommandAfter is startCommand for a program that logs another line before it serves the platform's clients. It passes the
+// submatches of that line's pattern to logged. An empty pattern means that there is none.
+func startCommandAfter(t *testing.T, c *exec.Cmd, logged func([]string), pattern string) (cl *testserver.Client, lines *bufio.Scanner) {
 	t.Helper()
 	out, err := c.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, c.Start())
 	t.Cleanup(func() { _ = c.Process.Kill() }) // if the test fails before the program has exited
 	lines = bufio.NewScanner(out)
+	if pattern != "" {
+		logged(waitForLog(t, lines, pattern))
+	}
 	m := waitForLog(t, lines, listenPattern)
 	cl = testserver.Dial(t, m[1])
 	require.Eventually(t, func() bool { // the platform also sends clients only once the process is ready
--- a/processtest/request_memory_test.go
+++ b/processtest/request_memory_test.go
@@ -9,7 +9,6 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -156,13 +155,7 @@
 func peakAnonymousMemory(t *testing.T, pid int, done <-chan struct{}) (peakKB int) {
 	t.Helper()
 	for {
-		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-		require.NoError(t, err)
-		match := anonymousMemoryPattern.FindSubmatch(status)
-		require.NotNil(t, match, "%s", status)
-		heldKB, err := strconv.Atoi(string(match[1]))
-		require.NoError(t, err)
-		peakKB = max(peakKB, heldKB)
+		peakKB = max(peakKB, anonymousMemoryKB(t, pid))
 		select {
 		case <-done:
 			return peakKB
