Keep the ID of a query whose client has left while it may still run

Cause: Front.submit released the ID as soon as the client had left; a cancellation does not stop running work.

A query tells whether an attempt was started; the flag is set before the check for a cancellation, so that none starts unseen.

Evidence: TestIDOfAClientThatHasLeftDoesNotRunTwice (processes) got three parts with one ID before and gets one now. The OpenSearch front makes IDs itself: TestSearchOfAClientThatHasLeftGetsAnotherID passed before too.

--- a/broker/attempt.go
+++ b/broker/attempt.go
@@ -49,12 +49,16 @@
 // attempt that was not started has never run, whatever its status.
 func (a *Attempt) Start() bool {
 	now := time.Now()
-	if a.Query.canceled.Load() || !now.Before(a.Deadline) {
+	if !now.Before(a.Deadline) {
 		return false
 	}
 	if !a.RetryDeadline.IsZero() && !now.Before(a.RetryDeadline) {
 		return false
 	}
+	a.Query.started.Store(true) // before the check, so that either it fails or the caller of Cancel sees this
+	if a.Query.canceled.Load() {
+		return false
+	}
 	return a.state.CompareAndSwap(attemptQueued, attemptStarted)
 }
 
--- a/broker/query.go
+++ b/broker/query.go
@@ -47,8 +47,14 @@
 	// canceled is set immediately when the query is canceled, so that an attempt that waits for a connection is not
 	// started before the event loop handles the cancellation.
 	canceled atomic.Bool
+	// started is set before the first attempt at a part is started.
+	started atomic.Bool
 }
 
+// MayHaveRun reports whether a store may run or have run a part of the query. If it is false once Cancel has returned, no store
+// has run one or will.
+func (q *Query) MayHaveRun() bool { return q.started.Load() }
+
 // Responder receives the final answer of a query. Respond is called by the event loop and must not block.
 type Responder interface{ Respond(Response) }
 
--- a/processtest/client_close_test.go
+++ b/processtest/client_close_test.go
@@ -1,7 +1,10 @@
 package processtest
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"strings"
 	"sync"
 	"syscall"
@@ -11,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"alderproxy/httpwire"
 	"alderproxy/internal/testserver"
 )
 
@@ -113,3 +117,56 @@
 	}
 	r.stop(t)
 }
+
+// Guards against an ID that runs twice: its client leaves while an attempt is at a store, and the same ID comes again.
+func TestIDOfAClientThatHasLeftDoesNotRunTwice(t *testing.T) {
+	r := startBothFronts(t, buildProgram(t), 64, 672)
+	release := r.frameStore.HoldAnswers()
+	defer release()
+	received := recordRequests(r.frameStore)
+	const id = "left"
+	for attempt := range 3 {
+		client := testserver.Dial(t, r.fronts[0].addr)
+		_, err := client.Write(lookupOfClass("assign", id, "x"))
+		require.NoError(t, err)
+		if attempt == 0 {
+			require.Eventually(t, func() bool { return len(received.containing("1"+id+".0 ")) > 0 }, 5*time.Second, time.Millisecond)
+		} else {
+			assert.Equal(t, 409, client.ReadResponse().Status)
+		}
+		client.Close()
+		if attempt == 0 { // the store is told that the client has left
+			require.Eventually(t, func() bool { return len(received.containing("2"+id+".0")) > 0 }, 5*time.Second, time.Millisecond)
+		}
+	}
+	release()
+	r.stop(t)
+	assert.Len(t, received.containing("1"+id+".0 "), 1, "the store got the same ID more than once")
+}
+
+// The OpenSearch front makes the IDs of parts itself: a client that leaves and comes again with the same X-Opaque-Id must not
+// have a part with the same ID as before.
+func TestSearchOfAClientThatHasLeftGetsAnotherID(t *testing.T) {
+	ids := make(chan string, 16)
+	store := testserver.NewStore(t, func(conn net.Conn) {
+		if request, err := httpwire.ReadRequest(bufio.NewReader(conn)); err == nil {
+			ids <- request.Header.Get("X-Opaque-Id")
+		}
+		_, _ = io.Copy(io.Discard, conn) // never answers
+	})
+	r := startBothFrontsWith(t, buildProgram(t), 64, 672, store)
+	seen := map[string]bool{}
+	for range 3 {
+		client := testserver.Dial(t, r.fronts[1].addr)
+		client.SendRequest("POST", "/names/_search", "{}", "X-Opaque-Id", "left")
+		select {
+		case id := <-ids:
+			assert.False(t, seen[id], "the store got the same ID more than once")
+			seen[id] = true
+		case <-time.After(5 * time.Second):
+			require.Fail(t, "the search did not reach the store")
+		}
+		client.Close()
+	}
+	r.stop(t)
+}
