Give clients of both fronts the same time to finish a request

Cause: only the platform's front set the timeouts of its server. Its values are httpwire's defaults now.

--- a/httpwire/server.go
+++ b/httpwire/server.go
@@ -15,11 +15,12 @@
 	"alderproxy/internal/ratelog"
 )
 
-// Defaults for the timeouts that a Server leaves at 0.
+// Defaults for the timeouts that a Server leaves at 0. A client that stops in the middle of a request must have an error or a close
+// within 3 s, and some usual clients need 2 s to write one.
 const (
-	defaultFirstRequestTimeout = 10 * time.Second
+	defaultFirstRequestTimeout = 2200 * time.Millisecond
 	defaultIdleTimeout         = time.Minute
-	defaultReadTimeout         = 10 * time.Second
+	defaultReadTimeout         = 2500 * time.Millisecond
 	defaultWriteTimeout        = 2 * time.Second
 )
 
@@ -50,11 +51,11 @@
 	// towards their limits.
 	MaxIdleConnections int
 	// FirstRequestTimeout limits the time from accepting a connection until its first request has been read completely; 0 means
-	// 10 s.
+	// 2.2 s.
 	FirstRequestTimeout time.Duration
 	// IdleTimeout limits the time from a response to the first byte of the next request; 0 means one minute.
 	IdleTimeout time.Duration
-	// ReadTimeout limits the time from the first byte of a later request until it has been read completely; 0 means 10 s.
+	// ReadTimeout limits the time from the first byte of a later request until it has been read completely; 0 means 2.5 s.
 	ReadTimeout time.Duration
 	// WriteTimeout limits the time that writing a response takes; 0 means 2 s.
 	WriteTimeout time.Duration
