--- a/processtest/client_memory_test.go
+++ b/processtest/client_memory_test.go
@@ -54,71 +54,54 @@
 	}
 }
 
+// clientKind is how each of many clients writes its request.
+type clientKind struct {
+	name  string
+	write func(conn net.Conn, f frontUnderTest, id string)
+}
+
+// clientKinds are clients that write slowly, stop half way through a request or send many short header lines.
+func clientKinds() []clientKind {
+	shortFields := strings.Repeat("a:\r\n", httpwire.MaxHeaderLines-6)
+	writing := func(request func(f frontUnderTest, id string) string) func(net.Conn, frontUnderTest, string) {
+		return func(conn net.Conn, f frontUnderTest, id string) { _, _ = conn.Write([]byte(request(f, id))) }
+	}
+	return []clientKind{
+		{"slow writers", func(conn net.Conn, f frontUnderTest, id string) { writeSlowly(conn, f.query(id, largePadding)) }},
+		{"slow writers of small requests", func(conn net.Conn, f frontUnderTest, id string) { writeSlowly(conn, f.query(id, 3<<10)) }},
+		{"half of a large request", writing(func(f frontUnderTest, id string) string {
+			request := f.query(id, largePadding)
+			return string(request[:len(request)/2])
+		})},
+		{"large requests", writing(func(f frontUnderTest, id string) string { return string(f.query(id, largePadding)) })},
+		{"short fields, unfinished", writing(func(f frontUnderTest, _ string) string { return f.startLine + shortFields })},
+		{"short fields, too many", writing(func(f frontUnderTest, _ string) string { return f.startLine + strings.Repeat("a:\n", 5400) })},
+		{"short fields, complete", writing(func(f frontUnderTest, id string) string {
+			return strings.Replace(string(f.query(id, 0)), "\r\n", "\r\n"+shortFields, 1)
+		})},
+		{"half of a long line", writing(func(f frontUnderTest, _ string) string { return f.startLine + "a: " + strings.Repeat("b", 15<<10) })},
+		{"many tiny chunks, unfinished", writing(func(f frontUnderTest, _ string) string {
+			return f.startLine + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\n \n", 3<<10)
+		})},
+		{"large requests behind a small one", writing(func(f frontUnderTest, id string) string {
+			return string(f.query(id, 0)) + string(f.query(id+"-behind", largePadding))
+		})},
+	}
+}
+
 // Guards against hundreds of clients that are connected at once and take the program over its limit on memory, for which the
 // platform kills it: they write slowly, stop half way through a large request, or send heads of very many short fields. The
 // limits and the number of clients are the extremes of the platform's pages: 32 MB, 1,024 descriptors and a third of them.
 func TestManyClientsStayWithinTheMemoryLimit(t *testing.T) {
 	program := buildProgram(t)
 	const memoryMB, descriptors, clients = 32, 1024, 320
-	shortFields := strings.Repeat("a:\r\n", httpwire.MaxHeaderLines-6)
-	for _, c := range []struct {
-		name  string
-		write func(conn net.Conn, f frontUnderTest, id string)
-	}{
-		{"slow writers", func(conn net.Conn, f frontUnderTest, id string) { writeSlowly(conn, f.query(id, largePadding)) }},
-		{"slow writers of small requests", func(conn net.Conn, f frontUnderTest, id string) { writeSlowly(conn, f.query(id, 3<<10)) }},
-		{"half of a large request", func(conn net.Conn, f frontUnderTest, id string) {
-			request := f.query(id, largePadding)
-			_, _ = conn.Write(request[:len(request)/2])
-		}},
-		{"large requests", func(conn net.Conn, f frontUnderTest, id string) { _, _ = conn.Write(f.query(id, largePadding)) }},
-		{"short fields, unfinished", func(conn net.Conn, f frontUnderTest, _ string) {
-			_, _ = conn.Write([]byte(f.startLine + shortFields))
-		}},
-		{"short fields, too many", func(conn net.Conn, f frontUnderTest, _ string) {
-			_, _ = conn.Write([]byte(f.startLine + strings.Repeat("a:\n", 5400)))
-		}},
-		{"half of a long line", func(conn net.Conn, f frontUnderTest, _ string) {
-			_, _ = conn.Write([]byte(f.startLine + "a: " + strings.Repeat("b", 15<<10)))
-		}},
-		{"many tiny chunks, unfinished", func(conn net.Conn, f frontUnderTest, _ string) {
-			_, _ = conn.Write([]byte(f.startLine + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\n \n", 3<<10)))
-		}},
-		{"large requests behind a small one", func(conn net.Conn, f frontUnderTest, id string) {
-			_, _ = conn.Write(append(f.query(id, 0), f.query(id+"-behind", largePadding)...))
-		}},
-		{"short fields, complete", func(conn net.Conn, f frontUnderTest, id string) {
-			_, _ = conn.Write([]byte(strings.Replace(string(f.query(id, 0)), "\r\n", "\r\n"+shortFields, 1)))
-		}},
-	} {
-		t.Run(c.name, func(t *testing.T) {
+	for _, kind := range clientKinds() {
+		t.Run(kind.name, func(t *testing.T) {
 			r := startBothFronts(t, program, memoryMB, descriptors)
 			go discard(r.frameStore.Requests)
 			go discard(r.searchStore.Requests)
 			for _, f := range r.fronts {
-				var ended outcomes
-				var running sync.WaitGroup
-				for client := range clients {
-					running.Go(func() {
-						conn, err := (&net.Dialer{Timeout: badClientTimeout}).Dial("tcp", f.addr)
-						if err != nil {
-							ended.add(0, err)
-							return
-						}
-						defer conn.Close()
-						conn.SetDeadline(time.Now().Add(badClientTimeout))
-						c.write(conn, f, fmt.Sprint("c", client))
-						conn.SetDeadline(time.Now().Add(badClientTimeout))
-						status, _, err := readAnswer(bufio.NewReader(conn))
-						ended.add(status, err)
-					})
-				}
-				done := make(chan struct{})
-				go func() {
-					running.Wait()
-					close(done)
-				}()
-				peakKB := peakAnonymousMemory(t, r.process.Process.Pid, done)
+				ended, peakKB := r.playClients(t, f, kind, clients)
 				t.Logf("%s: peak %d KB of %d, outcomes %v, late %d", f.name, peakKB, memoryMB<<10, ended.counts, ended.late)
 				assert.Less(t, peakKB, memoryMB<<10, "%s: the program holds more memory than its limit, in KB", f.name)
 				assert.Zero(t, ended.late, "%s: neither answered nor closed in time", f.name)
@@ -127,3 +110,32 @@
 		})
 	}
 }
+
+// playClients has clients of a kind send one request each at once, and returns how the requests ended and the peak of the
+// program's memory.
+func (r *bothFronts) playClients(t *testing.T, f frontUnderTest, kind clientKind, clients int) (ended *outcomes, peakKB int) {
+	t.Helper()
+	ended = &outcomes{}
+	var running sync.WaitGroup
+	for client := range clients {
+		running.Go(func() {
+			conn, err := (&net.Dialer{Timeout: badClientTimeout}).Dial("tcp", f.addr)
+			if err != nil {
+				ended.add(0, err)
+				return
+			}
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(badClientTimeout))
+			kind.write(conn, f, fmt.Sprint("c", client))
+			conn.SetDeadline(time.Now().Add(badClientTimeout))
+			status, _, err := readAnswer(bufio.NewReader(conn))
+			ended.add(status, err)
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		running.Wait()
+		close(done)
+	}()
+	return ended, peakAnonymousMemory(t, r.process.Process.Pid, done)
+}
