Pause before requests of a client that does not wait for responses

Cause: the connection's goroutine never waits and keeps the processor for whole time slices, each time that a query's goroutines are woken.

Change: a pause of 1 ms before a request that had arrived before the last response was written.

--- a/httpwire/server.go
+++ b/httpwire/server.go
@@ -24,6 +24,9 @@
 	defaultWriteTimeout        = 2 * time.Second
 )
 
+// pipelinePause is the pause between two requests that a client has sent without waiting for the response to the first.
+const pipelinePause = time.Millisecond
+
 // memoryRetryAfter is the Retry-After in seconds of a request that was rejected at the limit on memory.
 const memoryRetryAfter = "1"
 
@@ -89,13 +92,18 @@
 	return len(s.connections) + s.closingCount
 }
 
-// serveRequests answers the requests on a connection one after the other, and then closes it.
+// serveRequests answers the requests on a connection one after the other, and then closes it. It pauses before a request that has
+// arrived already: other goroutines wait up to a time slice of the scheduler each time that they are woken while one that never
+// waits uses the processor.
 func (s *Server) serveRequests(x *Exchange) {
 	defer x.conn.Close()
 	for s.awaitRequest(x) {
 		if keep := s.serveRequest(x); !keep {
 			return
 		}
+		if x.reader.Buffered() > 0 {
+			time.Sleep(pipelinePause)
+		}
 	}
 }
 
