Keep only two flags for each field of a search's sort

Cause: an open search kept 24 bytes, the slack of a growing slice and a string for each field, none of which the limit on the memory of requests counts: some 600 KB for a body of 62 KB.

Change: a sort key holds the two flags that the merge reads.

Evidence: TestManyClientsStayWithinTheMemoryLimit, row "large searches of many short fields": 43,160 KB of 32,768 without the change, 19,820 with it. The other rows, both fronts, peak at 8 to 21 MB with and without it.

--- a/opensearch/sort.go
+++ b/opensearch/sort.go
@@ -9,9 +9,9 @@
 	"alderproxy/internal/jsonscan"
 )
 
-// sortKey is one key of a search's sort order.
+// sortKey is one key of a search's sort order. It holds only what the merge needs: a search may have thousands of keys, and is kept
+// until its stores have answered.
 type sortKey struct {
-	field        string
 	descending   bool
 	missingFirst bool
 }
@@ -29,35 +29,37 @@
 	} else {
 		err = appendKeys(raw)
 	}
-	if err != nil {
-		return nil, err
-	}
-	for _, key := range keys {
-		if key.field == "_geo_distance" || key.field == "_script" || key.field == "_shard_doc" {
-			return nil, unsupported("sort by " + key.field)
-		}
-	}
-	return keys, nil
+	return keys, err
 }
 
 // appendSortKeys parses the name of a field, or an object with a member for each field, and appends the sort keys.
 func appendSortKeys(keys []sortKey, raw []byte) ([]sortKey, error) {
 	if raw[0] == '"' {
 		name, err := jsonscan.String(raw)
-		return append(keys, newSortKey(name)), err
+		if err != nil {
+			return nil, err
+		}
+		key, err := newSortKey(name)
+		return append(keys, key), err
 	}
 	err := jsonscan.Object(raw, func(name string, raw []byte) error {
-		key := newSortKey(name)
-		err := key.parse(raw)
+		key, err := newSortKey(name)
+		if err != nil {
+			return err
+		}
 		keys = append(keys, key)
-		return err
+		return keys[len(keys)-1].parse(raw)
 	})
 	return keys, err
 }
 
 // newSortKey returns a key with the field's default order: descending for _score, else ascending.
-func newSortKey(field string) sortKey {
-	return sortKey{field: field, descending: field == "_score"}
+func newSortKey(field string) (sortKey, error) {
+	switch field {
+	case "_geo_distance", "_script", "_shard_doc":
+		return sortKey{}, unsupported("sort by " + field)
+	}
+	return sortKey{descending: field == "_score"}, nil
 }
 
 // parse parses the order of a key, or an object with its options.
--- a/processtest/client_memory_test.go
+++ b/processtest/client_memory_test.go
@@ -56,34 +56,42 @@
 
 // clientKind is how each of many clients writes its request.
 type clientKind struct {
-	name  string
-	write func(conn net.Conn, f frontUnderTest, id string)
+	name       string
+	write      func(conn net.Conn, f frontUnderTest, id string)
+	storesHang bool // the stores don't answer, so that the program keeps the requests
 }
 
-// clientKinds are clients that write slowly, stop half way through a request or send many short header lines.
+// clientKinds are clients that write slowly, stop half way through a request or send many short fields.
 func clientKinds() []clientKind {
 	shortFields := strings.Repeat("a:\r\n", httpwire.MaxHeaderLines-6)
 	writing := func(request func(f frontUnderTest, id string) string) func(net.Conn, frontUnderTest, string) {
 		return func(conn net.Conn, f frontUnderTest, id string) { _, _ = conn.Write([]byte(request(f, id))) }
 	}
 	return []clientKind{
-		{"slow writers", func(conn net.Conn, f frontUnderTest, id string) { writeSlowly(conn, f.query(id, largePadding)) }},
-		{"slow writers of small requests", func(conn net.Conn, f frontUnderTest, id string) { writeSlowly(conn, f.query(id, 3<<10)) }},
-		{"half of a large request", writing(func(f frontUnderTest, id string) string {
+		{name: "slow writers", write: func(conn net.Conn, f frontUnderTest, id string) { writeSlowly(conn, f.query(id, largePadding)) }},
+		{name: "slow writers of small requests", write: func(conn net.Conn, f frontUnderTest, id string) { writeSlowly(conn, f.query(id, 3<<10)) }},
+		{name: "half of a large request", write: writing(func(f frontUnderTest, id string) string {
 			request := f.query(id, largePadding)
 			return string(request[:len(request)/2])
 		})},
-		{"large requests", writing(func(f frontUnderTest, id string) string { return string(f.query(id, largePadding)) })},
-		{"short fields, unfinished", writing(func(f frontUnderTest, _ string) string { return f.startLine + shortFields })},
-		{"short fields, too many", writing(func(f frontUnderTest, _ string) string { return f.startLine + strings.Repeat("a:\n", 5400) })},
-		{"short fields, complete", writing(func(f frontUnderTest, id string) string {
+		{name: "large requests", write: writing(func(f frontUnderTest, id string) string { return string(f.query(id, largePadding)) })},
+		{name: "short fields, unfinished", write: writing(func(f frontUnderTest, _ string) string { return f.startLine + shortFields })},
+		{name: "short fields, too many", write: writing(func(f frontUnderTest, _ string) string { return f.startLine + strings.Repeat("a:\n", 5400) })},
+		{name: "short fields, complete", write: writing(func(f frontUnderTest, id string) string {
 			return strings.Replace(string(f.query(id, 0)), "\r\n", "\r\n"+shortFields, 1)
 		})},
-		{"half of a long line", writing(func(f frontUnderTest, _ string) string { return f.startLine + "a: " + strings.Repeat("b", 15<<10) })},
-		{"many tiny chunks, unfinished", writing(func(f frontUnderTest, _ string) string {
+		{name: "half of a long line", write: writing(func(f frontUnderTest, _ string) string { return f.startLine + "a: " + strings.Repeat("b", 15<<10) })},
+		{name: "many tiny chunks, unfinished", write: writing(func(f frontUnderTest, _ string) string {
 			return f.startLine + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\n \n", 3<<10)
 		})},
-		{"large requests behind a small one", writing(func(f frontUnderTest, id string) string {
+		{name: "large requests to stores that hang", storesHang: true, write: writing(func(f frontUnderTest, id string) string {
+			return string(f.query(id, largePadding))
+		})},
+		{name: "large searches of many short fields", storesHang: true, write: writing(func(frontUnderTest, string) string {
+			body := `{"sort":[` + strings.Repeat(`"bb",`, 12500) + `"a"]}`
+			return string(httpwire.AppendRequest(nil, "POST", "/names/_search", "test", nil, []byte(body)))
+		})},
+		{name: "large requests behind a small one", write: writing(func(f frontUnderTest, id string) string {
 			return string(f.query(id, 0)) + string(f.query(id+"-behind", largePadding))
 		})},
 	}
@@ -100,6 +108,10 @@
 			r := startBothFronts(t, program, memoryMB, descriptors)
 			go discard(r.frameStore.Requests)
 			go discard(r.searchStore.Requests)
+			if kind.storesHang {
+				r.frameStore.HoldAnswers()
+				r.searchStore.HoldAnswers()
+			}
 			for _, f := range r.fronts {
 				ended, peakKB := r.playClients(t, f, kind, clients)
 				t.Logf("%s: peak %d KB of %d, outcomes %v, late %d", f.name, peakKB, memoryMB<<10, ended.counts, ended.late)
