Limit the lines around chunks apart from the head of a message

Cause: the lines around chunks counted towards MaxHead, whatever the limit on the body.

Change: they may have eight bytes for each byte that the body may have, beside 16 KiB, and are not reserved as memory.

On the code before, TestListInManyChunksIsTaken and the row "chunks of one byte" of TestReadRequest fail.

--- a/httpwire/body.go
+++ b/httpwire/body.go
@@ -94,11 +94,17 @@
 	return err
 }
 
-// readChunks reads a chunked body, and discards its trailers.
+// chunkOverhead is the number of bytes that the lines around chunks may have for each byte that the body may have, beside MaxHead.
+// Chunks of one byte have six or fewer.
+const chunkOverhead = 8
+
+// readChunks reads a chunked body, and discards its trailers. The lines around the chunks are not kept, so that they count
+// neither towards MaxHead nor towards the memory of the message.
 func (h *head) readChunks(r *bufio.Reader, limit int) ([]byte, error) {
 	body := bodyBuffer{limit: limit, memory: h.memory}
+	lines := head{remainingBytes: MaxHead + chunkOverhead*limit}
 	for {
-		size, err := h.readChunkSize(r, limit-len(body.bytes), limit)
+		size, err := lines.readChunkSize(r, limit-len(body.bytes), limit)
 		if err != nil {
 			return nil, err
 		}
@@ -108,7 +114,7 @@
 		if err := body.readN(r, size); err != nil {
 			return nil, err
 		}
-		text, err := h.readLine(r)
+		text, err := lines.readLine(r)
 		if err != nil {
 			return nil, unexpectedEOF(err)
 		}
--- a/httpwire/httpwire_test.go
+++ b/httpwire/httpwire_test.go
@@ -47,6 +47,13 @@
 		{"large body", "POST /a HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", "", false, ErrTooLarge},
 		{"length over 64 bits", "POST /a HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", "", false, ErrTooLarge},
 		{"large chunk", "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n", "", false, ErrTooLarge},
+		{
+			"chunks of one byte", "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nx\r\n", MaxBody) + "0\r\n\r\n",
+			strings.Repeat("x", MaxBody), false, nil,
+		},
+		{"long chunk extensions", "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			strings.Repeat("1;"+strings.Repeat("y", 1<<10)+"\r\nx\r\n", MaxBody), "", false, ErrTooLarge},
+		{"large trailers", "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: " + long + "\r\n\r\n", "", false, ErrTooLarge},
 		{"large head", "GET /a HTTP/1.1\r\nA: " + long + "\r\n\r\n", "", false, ErrTooLarge},
 		{"header lines at their maximum number", "GET /a HTTP/1.1\r\n" + strings.Repeat("a:\n", MaxHeaderLines) + "\r\n", "", false, nil},
 		{"too many header lines", "GET /a HTTP/1.1\r\n" + strings.Repeat("a:\n", MaxHeaderLines+1), "", false, ErrTooLarge},
--- a/httpwire/message.go
+++ b/httpwire/message.go
@@ -9,8 +9,8 @@
 	"alderproxy/internal/jsonscan"
 )
 
-// Limits on a message, in bytes: MaxBody on its body, MaxHead on its start line and header lines together. The size lines and
-// trailers of a chunked body count towards MaxHead. MaxHeaderLines limits the number of header lines, since a line takes more
+// Limits on a message, in bytes: MaxBody on its body, MaxHead on its start line, header lines and trailers together. The lines
+// around the chunks of a body have a limit of their own; see chunkOverhead. MaxHeaderLines limits the number of header lines, since a line takes more
 // memory than its text.
 const (
 	MaxBody        = 64 << 10
