Apply the limit on connections to each one of the accept queue at a stop

Cause: acceptPending took the whole accept queue before startConnection, which has the limit, saw the first connection.

Change: each connection is started as it is accepted, at most 4,096 of them.

--- a/httpwire/accept.go
+++ b/httpwire/accept.go
@@ -13,6 +13,8 @@
 const (
 	// acceptRetryInterval is the delay after a failed accept.
 	acceptRetryInterval = 10 * time.Millisecond
+	// maxAcceptQueue is the number of connections that a listener's accept queue may hold with usual settings of the system.
+	maxAcceptQueue = 4096
 	// readBufferSize is the initial size of a connection's read buffer, in bytes.
 	readBufferSize = 4 << 10
 )
@@ -38,11 +40,7 @@
 			_ = l.(deadlineSetter).SetDeadline(time.Now().Add(finalReadTimeout))
 		case stopped:
 			// More connections may have arrived after that deadline, while this goroutine waited to be scheduled.
-			pending := acceptPending(l)
-			l.Close()
-			for _, conn := range pending {
-				s.startConnection(conn)
-			}
+			s.startPending(l)
 			return nil
 		case errors.Is(err, net.ErrClosed):
 			return nil
@@ -134,18 +132,30 @@
 	}
 }
 
-// acceptPending accepts the connections in a listener's accept queue without blocking.
-func acceptPending(l net.Listener) (pending []net.Conn) {
+// startPending starts the connections in a listener's accept queue, one by one, so that the limit on connections applies to each.
+// It does not wait for further ones, and takes at most maxAcceptQueue: clients that are rejected may come again without end.
+func (s *Server) startPending(l net.Listener) {
 	sysConn, ok := l.(syscall.Conn)
 	if !ok {
-		return nil
+		return
 	}
 	raw, err := sysConn.SyscallConn()
 	if err != nil {
-		return nil
+		return
 	}
+	for range maxAcceptQueue {
+		conn := acceptNow(raw)
+		if conn == nil {
+			return
+		}
+		s.startConnection(conn)
+	}
+}
+
+// acceptNow accepts a connection without waiting. It returns nil if there is none.
+func acceptNow(raw syscall.RawConn) (conn net.Conn) {
 	_ = raw.Control(func(fd uintptr) { // it fails if the listener is closed, when nothing is pending
-		for {
+		for conn == nil {
 			accepted, _, err := syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 			switch {
 			case errors.Is(err, syscall.EINTR), errors.Is(err, syscall.ECONNABORTED):
@@ -154,11 +164,11 @@
 				return
 			}
 			file := os.NewFile(uintptr(accepted), "")
-			if conn, err := net.FileConn(file); err == nil {
-				pending = append(pending, conn)
+			if conn, err = net.FileConn(file); err != nil {
+				conn = nil
 			}
 			_ = file.Close() // FileConn has duplicated the descriptor
 		}
 	})
-	return pending
+	return conn
 }
