--- a/processtest/reload_test.go
+++ b/processtest/reload_test.go
@@ -1,6 +1,7 @@
 package processtest
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"syscall"
@@ -89,3 +90,40 @@
 	}
 	assert.NoError(t, c.Wait())
 }
+
+// Guards against parts that are sent to a draining store since SIGHUP names an agent that is behind: its list is older than the one
+// in force. It learns of the drain later.
+func TestAgentThatIsBehindAfterSIGHUPRevivesNoDrainingStore(t *testing.T) {
+	stores := []*testserver.Store{testserver.NewFrameStore(t), testserver.NewFrameStore(t)}
+	entry := func(store int, state string) string {
+		return testserver.EndpointEntry(fmt.Sprint("s-", store), stores[store], state)
+	}
+	ahead := testserver.NewDiscovery(t, entry(0, "in_service"), entry(1, "in_service"))
+	behind := testserver.NewDiscovery(t, entry(0, "in_service"), entry(1, "in_service"))
+	c, path, cl, lines := startProcess(t, platformConfig(ahead))
+	go discardLog(lines)
+	calls := recordCalls(stores[0])
+	go discard(stores[1].Requests)
+	awaitWatch := func(d *testserver.Discovery, version int) {
+		for !strings.Contains(<-d.Calls, fmt.Sprintf("from=%d&", version)) {
+			continue
+		}
+	}
+	ahead.Publish(false, entry(1, "in_service"))
+	ahead.Publish(false, entry(0, "terminating"))
+	awaitWatch(ahead, 3)
+	const graceAndSlack = 550 * time.Millisecond
+	owedFrom := time.Now().Add(graceAndSlack)
+	require.NoError(t, os.WriteFile(path, []byte(platformConfig(behind)), 0o600))
+	require.NoError(t, c.Process.Signal(syscall.SIGHUP))
+	awaitWatch(behind, 1)
+	for n := 0; time.Since(owedFrom) < 2*time.Second; n++ {
+		sendLookup(cl, fmt.Sprint("q", n))
+		assert.Equal(t, 200, cl.ReadResponse().Status)
+	}
+	behind.Publish(false, entry(0, "terminating"))
+	awaitWatch(behind, 2)
+	assert.Zero(t, calls.countBetween(owedFrom, time.Now()), "parts sent to a draining store")
+	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
+	assert.NoError(t, c.Wait())
+}
