Count the time of a request from the arrival of its first byte

Cause: Exchange.Start was the time of the request's turn, though its bytes had waited in the read buffer.

--- a/httpwire/exchange.go
+++ b/httpwire/exchange.go
@@ -39,7 +39,7 @@
 type Exchange struct {
 	*Request
 
-	Start time.Time // the time at which the request's first byte was read
+	Start time.Time // the time at which the request's first byte has arrived
 
 	conn        net.Conn
 	pollConn    *pollConn
@@ -53,6 +53,7 @@
 	evicted    bool // closed by the server because there are too many; a request that still arrives is its last
 
 	// Used by the connection's goroutine only.
+	arrivals    arrivals
 	waitExpired bool // the wait for a request reached its deadline; one that arrives in the final read is the last
 
 	// Set by ResetWait for each request.
@@ -134,6 +135,7 @@
 // the connection.
 func (x *Exchange) readAhead() (discarded int64, err error) {
 	_, err = x.reader.Peek(x.reader.Buffered() + 1)
+	x.arrivals.note(x.reader.Buffered(), time.Now())
 	switch {
 	case !errors.Is(err, bufio.ErrBufferFull):
 		return 0, err
--- a/httpwire/server.go
+++ b/httpwire/server.go
@@ -109,7 +109,7 @@
 
 // serveRequest reads and answers one request, and reports whether the connection stays open for another one.
 func (s *Server) serveRequest(x *Exchange) (keep bool) {
-	x.Start = time.Now()
+	x.Start = x.arrivals.first(time.Now())
 	x.ResetWait()
 	x.memory.requestBytes = 0
 	defer func() {
@@ -144,7 +144,9 @@
 
 // readRequest reads a request into the exchange. It returns errMemoryExhausted if the request was evicted meanwhile.
 func (s *Server) readRequest(x *Exchange) (err error) {
+	before := x.reader.Buffered()
 	x.Request, err = readRequest(x.reader, &x.memory)
+	x.arrivals.consume(before, x.reader.Buffered(), time.Now())
 	if evicted := x.memory.finishReading(); evicted != nil {
 		x.Request = nil
 		err = evicted
