--- a/httpwire/arrival.go
+++ b/httpwire/arrival.go
@@ -40,15 +40,15 @@
 }
 
 // consume records that a request has been read, before which the buffer held a number of bytes, and another number after it. If the
-// rest of the request had to be read from the connection, all that is left has arrived just now.
+// rest of the request had to be read from the connection, all that remains has arrived just now.
 func (a *arrivals) consume(before, after int, now time.Time) {
 	consumed := before - after
-	var left []arrivalMark
+	var remaining []arrivalMark
 	for _, mark := range a.marks {
 		if mark.buffered -= consumed; consumed > 0 && mark.buffered > 0 {
-			left = append(left, mark)
+			remaining = append(remaining, mark)
 		}
 	}
-	a.marks = left
+	a.marks = remaining
 	a.note(after, now)
 }
