Wait in a test until a new member has received its promotion

Trace of that run: the change was done; the leader n2 and n3 had entry 37, which makes n4 a voter, as their last one and it was committed; n4's last entry was 36. n4 had all 4 voters 2.4 ms later. Cause, in the test: it read n4's configuration at once, though a change is complete when it is committed, and other instances may follow then. Not explained further: a majority of the new configuration would have included n4, so entry 37 was counted by the configuration before it, which hashicorp/raft may do while it appends the entry. Change: the test waits until n4 has 4 voters, for 10 s at most. The other checks are the same.

--- a/raftnode/membership_test.go
+++ b/raftnode/membership_test.go
@@ -82,12 +82,18 @@
 	outcome := <-outcomes
 	assert.Equal(t, sharedconfig.StatusDone, outcome.Status, outcome.Reason)
 	c.waitUntilServing(13)
+	// The change is complete once it is committed. n4 may receive the entry after that.
+	require.Eventually(t, func() bool { return countVoters(n4) == 4 }, 10*time.Second, time.Millisecond)
+	assert.Len(t, n4.State().Versions, 13)
+}
+
+// countVoters returns the number of voters in the latest configuration that a node has.
+func countVoters(node *Node) int {
 	voters := 0
-	for _, member := range n4.Members() {
+	for _, member := range node.Members() {
 		if member.Voter {
 			voters++
 		}
 	}
-	assert.Equal(t, 4, voters)
-	assert.Len(t, n4.State().Versions, 13)
+	return voters
 }
