Ping a suspect before it is declared dead

Mend: pings in the last three probe intervals of the suspicion timeout, from at most half of the send budget. The ack carries the incarnation that refutes.

--- a/membership/detection_test.go
+++ b/membership/detection_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -89,6 +90,22 @@
 	})
 }
 
+// Guards against a member that is declared dead at few seeds only, after pauses that are shorter than the suspicion timeout.
+func TestNoFalsePositivesUnderPausesAtManySeeds(t *testing.T) {
+	t.Parallel()
+	const size, firstSeed, seeds = 40, 141, 8
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", firstSeed+seed), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, firstSeed+seed, size, simnet.Link{MinDelay: 300, MaxDelay: 5000, LossRate: 0.1})
+			c.waitForAgreement(size, 60*second)
+			injectRandomPauses(c)
+			c.run(120 * second)
+			assert.Empty(t, c.declaredDeaths)
+		})
+	}
+}
+
 // injectRandomPauses pauses each member four times, alternately for 1 s and 5 s.
 func injectRandomPauses(c *cluster) {
 	for _, node := range c.nodes {
--- a/membership/group.go
+++ b/membership/group.go
@@ -135,6 +135,7 @@
 		g.handleEvent(event)
 	}
 	g.runProbes()
+	g.pingSuspects()
 	g.expireSuspicions()
 	g.removeExpired()
 	g.runDissemination()
--- a/membership/member.go
+++ b/membership/member.go
@@ -101,6 +101,8 @@
 	departureReporters map[ID]bool
 	// suspicionStartedAt is the time at which the current suspicion began or was last restarted.
 	suspicionStartedAt Micros
+	// nextSuspectPingAt is the time from which a suspect may be pinged again.
+	nextSuspectPingAt Micros
 	// portUnreachable reports whether the host rejected a datagram to its address because no process listens there.
 	portUnreachable bool
 	// nameClaim is the pending claim of another process to the member's name; nil if there is none.
--- a/membership/suspicion.go
+++ b/membership/suspicion.go
@@ -12,6 +12,11 @@
 	unreachablePortDivisor = 4
 	// minSuspicionTimeoutIntervals is the minimum suspicion timeout in probe intervals.
 	minSuspicionTimeoutIntervals = 2
+	// suspectPingIntervals is the number of probe intervals at the end of the suspicion timeout in each of which the suspect
+	// is pinged.
+	suspectPingIntervals = 3
+	// suspectPingDivisor is the divisor of the send budget of one second that pings of suspects leave to other messages.
+	suspectPingDivisor = 2
 
 	// minRefutations is the minimum number of refuted accusations for an accuser to be distrusted.
 	minRefutations = 5
@@ -66,6 +71,28 @@
 	g.send(member.Addr, Message{Kind: KindGossip, Updates: []Update{accusation}}, member)
 }
 
+// pingSuspects pings the suspects whose suspicion timeout ends soon, once per probe interval, as far as the send budget
+// permits. An ack refutes the suspicion even if gossip did not deliver the refutation to this member.
+func (g *Group) pingSuspects() {
+	if g.suspectCount == 0 {
+		return
+	}
+	for _, member := range g.membersByID {
+		if member.State != StateSuspect || g.now < member.nextSuspectPingAt {
+			continue
+		}
+		if g.remainingSuspicion(member) > suspectPingIntervals*g.ProbeInterval {
+			continue
+		}
+		if g.sendTokens < float64(g.MaxSendRate)/suspectPingDivisor {
+			return
+		}
+		member.nextSuspectPingAt = g.now + g.ProbeInterval
+		g.lastProbeNumber++
+		g.send(member.Addr, Message{Kind: KindPing, ProbeNumber: g.lastProbeNumber, Target: member.ID}, member)
+	}
+}
+
 // expireSuspicions declares suspects dead whose suspicion timeout has elapsed, unless this member may be isolated.
 func (g *Group) expireSuspicions() {
 	if g.suspectCount == 0 || g.now < g.noDeathsBefore || !g.trusted() {
