Drop no synchronization responses for a ping that waits

Group.send cut the queue of deferred messages to 256 before it appended a ping or ack, so that synchronization responses beyond it were lost. Now the last message only is replaced.

--- a/membership/send.go
+++ b/membership/send.go
@@ -2,7 +2,7 @@
 
 import "net/netip"
 
-// maxDeferredSends is the number of messages waiting for the send budget beyond which send replaces the last one.
+// maxDeferredSends is the number of messages waiting for the send budget from which on deferSend replaces the last one.
 // Synchronization responses may exceed it.
 const maxDeferredSends = 256
 
@@ -23,9 +23,7 @@
 	}
 	if g.sendTokens < 1 {
 		if message.Kind == KindAck || message.Kind == KindPing || message.Kind == KindSyncResponse {
-			// If too many messages are waiting, the new one replaces those beyond maxDeferredSends.
-			waiting := min(len(g.deferredSends), maxDeferredSends)
-			g.deferredSends = append(g.deferredSends[:waiting], SendMessage{to, message})
+			g.deferSend(SendMessage{to, message})
 		}
 		return
 	}
@@ -37,6 +35,15 @@
 	g.emit(SendMessage{to, message})
 }
 
+// deferSend makes a message wait for the send budget. If too many messages are waiting, it replaces the last one.
+func (g *Group) deferSend(message SendMessage) {
+	if waiting := len(g.deferredSends); waiting >= maxDeferredSends {
+		g.deferredSends[waiting-1] = message
+		return
+	}
+	g.deferredSends = append(g.deferredSends, message)
+}
+
 // sendDeferred sends deferred messages, oldest first, as far as the send budget permits. It piggybacks no updates.
 func (g *Group) sendDeferred() {
 	sent := 0
