Shorten the TTL of a fact to what other members accept

A fact with a TTL above TombstoneTTL was stored by its publisher and ignored by all others. TestFactWithLongTTLReachesAllMembers: none of four other members had it before. go test -race ./membership passes.

--- a/membership/event.go
+++ b/membership/event.go
@@ -18,8 +18,8 @@
 type PublishFact struct {
 	Name  string
 	Value string
-	// TTL is the time after which the fact expires unless it is published again. Other members ignore a fact whose TTL
-	// exceeds their Config.TombstoneTTL.
+	// TTL is the time after which the fact expires unless it is published again. It is shortened to Config.TombstoneTTL,
+	// which must not be longer than that of the other members: they ignore a fact with a longer TTL than theirs.
 	TTL Micros
 }
 
--- a/membership/fact.go
+++ b/membership/fact.go
@@ -44,10 +44,11 @@
 	return fact
 }
 
-// publishFact stores a fact of this member and queues it for dissemination. A fact that is invalid or exceeds the
-// maximum number of facts is logged and dropped.
+// publishFact stores a fact of this member and queues it for dissemination. Its TTL is at most TombstoneTTL, as other
+// members ignore a fact with a longer one. A fact that is invalid or exceeds the maximum number of facts is logged and
+// dropped.
 func (g *Group) publishFact(event PublishFact) {
-	fact := Fact{Owner: g.self.ID, Name: event.Name, Value: event.Value, Version: 1, TTL: event.TTL}
+	fact := Fact{Owner: g.self.ID, Name: event.Name, Value: event.Value, Version: 1, TTL: min(event.TTL, g.TombstoneTTL)}
 	previous := g.self.facts[event.Name]
 	if !fact.isValid() || event.TTL < 0 {
 		g.logf(
--- a/membership/fact_test.go
+++ b/membership/fact_test.go
@@ -62,3 +62,22 @@
 		assert.Equal(t, uint64(firstVersion+i), version)
 	}
 }
+
+// Guards against a fact that only its publisher knows, because the other members ignore its TTL.
+func TestFactWithLongTTLReachesAllMembers(t *testing.T) {
+	t.Parallel()
+	const size, publisher, published = 5, 1, 7
+	c := newConvergedCluster(t, 18, size)
+	tombstoneTTL := c.nodes[publisher].TombstoneTTL
+	c.nodes[publisher].step(DocumentVersionFact.Publish(published, 2*tombstoneTTL))
+	c.run(15 * second)
+	for observer := range size {
+		member, _ := c.memberSeenBy(observer, publisher)
+		version, _ := DocumentVersionFact.Value(member)
+		assert.Equal(t, uint64(published), version, nameOf(observer))
+	}
+	c.run(tombstoneTTL)
+	member, _ := c.memberSeenBy(publisher, publisher)
+	_, known := DocumentVersionFact.Value(member)
+	assert.False(t, known, "the fact expires at its publisher when it does elsewhere")
+}
